--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -215,8 +215,6 @@
         else:
             a.held = True
             insort(self.held[a.shelf], a)
-            self._wake(max(now, a.due_ms - self.mean_ms[a.shelf]), a.shelf)
-            self._wake(a.abandon_ms, a.shelf)
             self._serve(a.shelf, now, None)
         return a, self._finish(now)
 
@@ -468,6 +466,8 @@
                 i = min(i, held.index(a)) if a.held else i
                 continue
             i += 1
+        for a in held:  # rule 1: whichever shelf an access has come to stand at, its end is asked for there
+            self._wake(a.abandon_ms if a.due_ms >= a.abandon_ms else a.due_ms, s)
 
     def _give_up(self, a: Access) -> None:
         """The final answer, at once. Pushed back where trying again is harmless, with a time to stay away."""
