--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -299,7 +299,7 @@
             self.heard_ms[s] = now
         self.out[s] += 1
         self.last_extent[s] = a.extent
-        until = a.abandon_ms if a.streaming else min(a.abandon_ms, max(a.due_ms, now) + self.mean_ms[s])
+        until = min(a.abandon_ms, max(a.due_ms, now) + self.mean_ms[s] / 4)
         if self.dead[s] or not self.mean_ms[s]:
             until = a.abandon_ms
         a.trips.append(Trip(self.names[s], until))
