Narrow the bound of a shelf whose trips take long

Cause: under overload the heads' four trips each made a queue in the shelf longer than the shortest expected time; accesses were late there, where nothing can be chosen any more. Each answered trip past 0.4 of the shortest expected time takes 0.2 off the bound, each other adds 0.1. It covers crowding by other heads, slowness and thrashing alike; it could harm where trips are long by nature on an idle shelf, there one trip at a time remains.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -20,6 +20,7 @@
 from pebblehinge.interface import Repeat, Settings, Standing, Trip
 
 BOUND = 4  # trips out per shelf and head (design: to start)
+CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
 BUCKETS = 400  # thinktimes past the last bucket count in it
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
@@ -112,6 +113,7 @@
         self.born = now
         self.seq = 0
         self.profiles = {p.name: p for p in settings.profiles}
+        self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.plans = {p.name: p for p in settings.plans}
         self.index: dict[str, int] = {}
         self.at_slot: dict[int, int] = {}  # slot -> shelf that holds it and may be sent to
@@ -134,6 +136,7 @@
         self.held: list[list[Access]] = []  # earliest due first
         self.out: list[int] = []
         self.bound: list[int] = []
+        self.width: list[float] = []  # what bound is rounded from
         self.waits: list[list[tuple[str, float]]] = []  # slots kept for an extent, until when
         self.last_extent: list[str | None] = []
         self.plain_ms: list[float] = []
@@ -299,7 +302,7 @@
             self.heard_ms[s] = now
         self.out[s] += 1
         self.last_extent[s] = a.extent
-        until = min(a.abandon_ms, max(a.due_ms, now) + self.mean_ms[s] / 4)
+        until = min(a.abandon_ms, max(a.due_ms, now) + self.mean_ms[s])
         if self.dead[s] or not self.mean_ms[s]:
             until = a.abandon_ms
         a.trips.append(Trip(self.names[s], until))
@@ -528,6 +531,11 @@
         if outcome is Outcome.HONOURED:
             self.heard_ms[s] = now
             self.dead[s], self.lost[s] = False, 0
+            # Crowding by other heads, slowness and thrashing all show as trips that take long: fewer go out,
+            # down to one, so that an access waits here, where it can still be chosen or refused.
+            step = 0.1 if took < CROWDED * self.shortest_ms else -0.2
+            self.width[s] = min(float(BOUND), max(1.0, self.width[s] + step))
+            self.bound[s] = int(self.width[s] + 0.5)
             split = self.run_ms if a.run else self.plain_ms
             split[s] += FORGET * (took - split[s]) if split[s] else took
             self.mean_ms[s] += STEADY * (took - self.mean_ms[s]) if self.mean_ms[s] else took
@@ -554,6 +562,7 @@
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
             (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.out, 0), (self.bound, BOUND),
+            (self.width, float(BOUND)),
             (self.waits, []), (self.last_extent, None), (self.plain_ms, 0.0), (self.run_ms, 0.0),
             (self.mean_ms, 0.0), (self.heard_ms, now), (self.dead, False), (self.lost, 0),
             (self.trial_ms, now),
