--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -20,7 +20,7 @@
 from pebblehinge.interface import Repeat, Settings, Standing, Trip
 
 BOUND = 4  # trips out per shelf and head (design: to start)
-CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
+CROWDED = 0.3  # a trip that takes longer than this part of the shortest expected time narrows the bound
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
 BUCKETS = 400  # thinktimes past the last bucket count in it
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
