Reckon a retry's expected time from its first try by the patience left

Cause: clients that were pushed back come again with their first try's clock running; the head gave them a whole expected time more and kept slots for answers already late. A profile's longest seen patience less what is left now is the time already waited. It covers tries that waited at a dead head too; it could harm where clients give each try a different time of their own accord.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -20,7 +20,7 @@
 from pebblehinge.interface import Repeat, Settings, Standing, Trip
 
 BOUND = 4  # trips out per shelf and head (design: to start)
-CROWDED = 0.3  # a trip that takes longer than this part of the shortest expected time narrows the bound
+CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
 BUCKETS = 400  # thinktimes past the last bucket count in it
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
@@ -113,6 +113,7 @@
         self.born = now
         self.seq = 0
         self.profiles = {p.name: p for p in settings.profiles}
+        self.patience: dict[str, float] = {}  # the longest a client of a profile was seen to wait
         self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.plans = {p.name: p for p in settings.plans}
         self.index: dict[str, int] = {}
@@ -194,7 +195,11 @@
         a.set_size = max(1, set_size)
         a.profile, a.plan = self.profiles[profile], self.plans[plan]
         a.abandon_ms = abandon_ms - 2 * self.cfg.step_ms
-        a.due_ms = min(now + a.profile.expected_ms, a.abandon_ms)
+        # A client's clock runs on over its tries: one with less patience left than its profile's longest has
+        # waited before, here or at a head that died, and is due by so much earlier.
+        left = abandon_ms - now
+        self.patience[profile] = max(left, self.patience.get(profile, left))
+        a.due_ms = min(abandon_ms - self.patience[profile] + a.profile.expected_ms, a.abandon_ms)
         self.seq += 1
         a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
         a.streaming, a.run, a.sent_ms = False, False, 0.0
