A held access of the last sent extent goes along with it, up to the design's bound

Cause: with a narrowed bound the accesses of one run left one answer apart, other heads' accesses came between. Kept, since sending a run together is what the design rests on; it could harm where a hot extent always has a next access.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -252,12 +252,15 @@
         if self._down(s, now):
             self._try_carefully(s, now)
             return
-        while held and self.out[s] < self.bound[s]:
-            # An access of the finished or awaited extent goes at once, ahead of the candidate.
+        while held and self.out[s] < BOUND:
+            # An access of the finished, awaited or last sent extent goes at once, ahead of the candidate; a
+            # narrowed bound does not keep a run apart, the shelf saves work only on what comes together.
             kept = [w[0] for w in waits]
-            access = next((a for a in held if a.extent is not None and (a.extent == done or a.extent in kept)
-                           and self._may_go(a, now)), None)  # fmt: skip
+            runs = [done, self.last_extent[s], *kept]
+            access = next((a for a in held if a.extent and a.extent in runs and self._may_go(a, now)), None)
             if access is None:
+                if self.out[s] >= self.bound[s]:
+                    break
                 access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
                 if access is None:
                     break
