--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -428,7 +428,7 @@
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
         st.at_ms = now
-        part = 1.0 / n**0.5  # the lead of a volume's heads sees more than an even part
+        part = 1.0  # any of its heads may be its lead: none knows what comes through the others
         st.limit = min((plan.limit_burst + plan.limit_slack) / n, st.limit + passed * plan.limit_rate / n)
         st.reserve = min(part * plan.reserve + self.cfg.most_units, st.reserve + passed * plan.reserve * part)
         rate = SHARE_RATES * plan.rate * part
