--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -34,7 +34,7 @@
 SILENT_MS = 400.0  # ... and this on top, so that pauses and flushes pass
 LOST = 4  # trips overdue in a row that make a shelf down
 TRIAL_GAP_MS = 250.0  # between careful trips to a shelf that is down
-SHARE_RATES = 3.0  # multiple of its rate up to which a volume's demand counts as inside its share
+SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
 FLOOR = 1e-9
 
 
@@ -113,6 +113,8 @@
         self.born = now
         self.seq = 0
         self.profiles = {p.name: p for p in settings.profiles}
+        plans = settings.plans
+        self.rate_by_weight = sum(p.rate for p in plans) / max(FLOOR, sum(p.weight for p in plans))
         self.patience: dict[str, float] = {}  # the longest a client of a profile was seen to wait
         self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.plans = {p.name: p for p in settings.plans}
@@ -428,10 +430,10 @@
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
         st.at_ms = now
-        part = 1.0  # any of its heads may be its lead: none knows what comes through the others
         st.limit = min((plan.limit_burst + plan.limit_slack) / n, st.limit + passed * plan.limit_rate / n)
-        st.reserve = min(part * plan.reserve + self.cfg.most_units, st.reserve + passed * plan.reserve * part)
-        rate = SHARE_RATES * plan.rate * part
+        # Any head of a volume may be its lead, none knows what comes through the others: all of it counts.
+        st.reserve = min(plan.reserve + self.cfg.most_units, st.reserve + passed * plan.reserve)
+        rate = SHARE_RATES * self.rate_by_weight * plan.weight
         st.share = min(rate + self.cfg.most_units, st.share + passed * rate)
         return st
 
