--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -124,31 +124,19 @@
         self.stores: OrderedDict[str, Store] = OrderedDict()
         self.lines: dict[str, list[Access]] = {}  # order by key: accesses not over, or with a trip out
         self.rest_ms: dict[str, float] = {}
-        self.takes: deque[float] = deque()  # trip budget
-        self.further: deque[float] = deque()
+        self.takes, self.further = deque(), deque()  # trip budget: when accesses and further trips were
         self.wakes: list[tuple[float, int]] = []
         self.asked: set[tuple[float, int]] = set()  # what stands in wakes
         self.changes = Changes()
-        # one place a shelf, by its index
-        self.names: list[str] = []
-        self.ready: list[bool] = []
-        self.slots: list[int] = []
-        self.started: list[float] = []
-        self.cold_ms: list[float | None] = []  # since when it counts as cold
-        self.flow: list[deque[tuple[float, float]]] = []  # while cold: units sent (+), credited (-)
-        self.held: list[list[Access]] = []  # earliest due first
-        self.out: list[int] = []
-        self.bound: list[int] = []
-        self.width: list[float] = []  # what bound is rounded from
-        self.waits: list[list[tuple[str, float]]] = []  # slots kept for an extent, until when
-        self.last_extent: list[str | None] = []
-        self.plain_ms: list[float] = []
-        self.run_ms: list[float] = []
-        self.mean_ms: list[float] = []
-        self.heard_ms: list[float] = []  # last answer, or first trip after a rest
-        self.dead: list[bool] = []
-        self.lost: list[int] = []  # trips overdue since its last answer
-        self.trial_ms: list[float] = []
+        # Parallel arrays, one place a shelf, by its index.
+        self.names, self.ready, self.slots, self.started = [], [], [], []
+        self.cold_ms, self.flow = [], []  # cold since; units sent (+) and, credited, honoured (-) meanwhile
+        self.held, self.out = [], []  # accesses, earliest due first; number of trips
+        self.width, self.bound = [], []  # trips allowed: unrounded, rounded
+        self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
+        self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
+        self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
+        self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
 
     # ---- calls from outside
 
@@ -206,7 +194,10 @@
         a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
         a.streaming, a.run, a.sent_ms = False, False, 0.0
         a.trips, a.recalls, a.answer = [], [], None
-        self.takes.append(now)
+        if self.cfg.budget_share is not None:
+            self.takes.append(now)
+            while self.takes[0] <= now - self.cfg.budget_window_ms + 2 * self.cfg.step_ms:
+                self.takes.popleft()
         self._price(a, now)
         if a.profile.in_order and extent is not None:
             self.lines.setdefault(extent, []).append(a)
@@ -301,6 +292,8 @@
         a.held = False
         if a.sent:
             self.further.append(now)
+            while self.further[0] < now - self.cfg.budget_window_ms - 2 * self.cfg.step_ms:
+                self.further.popleft()
         else:
             self._store(a, now).limit -= a.units if a.plan.limit_rate else 0.0
         a.run = a.extent is not None and a.extent == self.last_extent[s] and not a.sent
@@ -326,10 +319,12 @@
         if a.risk_ms is None and outcome not in NEVER_RAN:
             a.risk_ms = a.sent_ms
         if a.profile.in_order and a.extent is not None and outcome in MAY_STILL_RUN:
+            if len(self.rest_ms) > EXTENTS:
+                self.rest_ms = {k: until for k, until in self.rest_ms.items() if until > now}
             self.rest_ms[a.extent] = now + self.cfg.order_settle_ms
         self._note_health(a, s, now, outcome, took)
         if over or a.over:
-            self._close(a, now)
+            self._close(a)
         elif not self._go_again(a, s, now, outcome):
             self._give_up(a)
         e = self.extents.get(a.extent) if a.extent is not None else None
@@ -342,7 +337,7 @@
             if a.out and self.cfg.may_recall:
                 a.recalls.append(a.sent - 1)
                 self._changed(a)
-            self._close(a, now)
+            self._close(a)
             if a.shelf >= 0:
                 self._serve(a.shelf, now, None)
 
@@ -350,7 +345,7 @@
 
     def _may_go(self, a: Access, now: float) -> bool:
         s = a.shelf
-        if not self.ready[s]:
+        if not self.ready[s] or (a.sent and not self._may_repeat(a, now, 0)):
             return False
         if a.profile.in_order and a.extent is not None:  # rule 6
             line = self.lines[a.extent]
@@ -393,27 +388,26 @@
             return False
         if outcome not in (Outcome.ERRED, Outcome.FULL) or now + self.mean_ms[s] > a.abandon_ms:
             return False
-        if a.risk_ms is not None:  # rule 2
-            if a.profile.repeat is Repeat.IRREVERSIBLE:
-                return False
-            if a.profile.repeat is Repeat.LABELLED and now > a.risk_ms + a.profile.window_ms / 2:
-                return False
-        if cfg.budget_share is not None:  # rule 7, with a margin at both ends of the window
-            edge = now - cfg.budget_window_ms
-            while self.takes and self.takes[0] <= edge + 2 * cfg.step_ms:
-                self.takes.popleft()
-            while self.further and self.further[0] < edge - 2 * cfg.step_ms:
-                self.further.popleft()
-            waiting = sum(1 for q in self.held for b in q if b.sent)
-            if len(self.further) + waiting + 1 > cfg.budget_free + cfg.budget_share * len(self.takes):
-                return False
-        else:
-            self.takes.clear()
-            self.further.clear()
+        if not self._may_repeat(a, now, 1):
+            return False
         a.held = True
         insort(self.held[s], a)
         return True
 
+    def _may_repeat(self, a: Access, now: float, new: int) -> bool:
+        """Rules 2 and 7 for a further trip: looked at when it is queued (new = 1) and again when it leaves."""
+        cfg = self.cfg
+        if a.risk_ms is not None and a.profile.repeat is not Repeat.REDOABLE:
+            labelled = a.profile.repeat is Repeat.LABELLED
+            if not labelled or now > a.risk_ms + a.profile.window_ms - 2 * cfg.step_ms:
+                return False
+        if cfg.budget_share is None:
+            return True
+        taken = sum(1 for t in self.takes if t > now - cfg.budget_window_ms + 2 * cfg.step_ms)
+        made = sum(1 for t in self.further if t >= now - cfg.budget_window_ms - 2 * cfg.step_ms)
+        queued = new * sum(1 for held in self.held for b in held if b.sent)
+        return made + queued + 1 <= cfg.budget_free + cfg.budget_share * taken
+
     # ---- worth, limits and refusals
 
     def _store(self, a: Access, now: float) -> Store:
@@ -497,9 +491,9 @@
             st.reserve += a.taken[0]
             st.share += a.taken[1]
         self._changed(a)
-        self._close(a, None)
+        self._close(a)
 
-    def _close(self, a: Access, now: float | None) -> None:
+    def _close(self, a: Access) -> None:
         if a.held:
             self.held[a.shelf].remove(a)
             a.held = False
@@ -571,11 +565,10 @@
         self.index[entry.shelf] = s
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
-            (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.out, 0), (self.bound, BOUND),
-            (self.width, float(BOUND)),
-            (self.waits, []), (self.last_extent, None), (self.plain_ms, 0.0), (self.run_ms, 0.0),
-            (self.mean_ms, 0.0), (self.heard_ms, now), (self.dead, False), (self.lost, 0),
-            (self.trial_ms, now),
+            (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.out, 0),
+            (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
+            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
+            (self.lost, 0), (self.dead, False), (self.trial_ms, now),
         ):  # fmt: skip
             column.append(value)
         return s
