--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -395,7 +395,7 @@
         return True
 
     def _may_repeat(self, a: Access, now: float, new: int) -> bool:
-        """Rules 2 and 7 for a further trip: looked at when it is queued (new = 1) and again when it leaves."""
+        """Rules 2 and 7 for a further trip: looked at when queued (new = 1) and when it leaves."""
         cfg = self.cfg
         if a.risk_ms is not None and a.profile.repeat is not Repeat.REDOABLE:
             labelled = a.profile.repeat is Repeat.LABELLED
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -102,11 +102,12 @@
         return done + [f"{stamp}{call.value}" for call in changes.list_calls]
 
     def step(self, now: float, verb: str, words: list[str]) -> list[str]:
+        first: list[str] = []
         if self.head is None or verb == "restart":
             self.head, self.handles = Head(self.settings, 7, now), {}
-            done = self.told(self.head.start(now))
+            first = self.told(self.head.start(now))
             if verb == "restart":
-                return done + self.told(self.head.listed(now, ListKind.CACHED, list(self.entries.values())))
+                return first + self.told(self.head.listed(now, ListKind.CACHED, list(self.entries.values())))
         if verb == "wait":
             done = []
             while self.wake is not None and self.wake <= now:
@@ -122,7 +123,7 @@
                 standing = Standing(more[0]) if more and more[0] else Standing.READY
                 entries.append(Entry(shelf, standing, int(slot), float(more[1]) if len(more) > 1 else 0.0))
             self.entries.update({e.shelf: e for e in entries})
-            return self.told(self.head.listed(now, KINDS[verb], entries))
+            return first + self.told(self.head.listed(now, KINDS[verb], entries))
         if verb == "take":
             more = dict(w.split("=") for w in words[5:])
             id_, extent = int(words[0]), None if words[1] == "-" else words[1]
