--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -21,6 +21,7 @@
 
 BOUND = 4  # trips out per shelf and head (design: to start)
 CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
+CAUTION = 1.25  # multiple of the mean latency that a trip is reckoned to take
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
 BUCKETS = 400  # thinktimes past the last bucket count in it
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
@@ -452,7 +453,7 @@
         """Refusal under overload. Each held access is placed at the time its turn should end; where one would
         miss its due time, the one among it and those before it that earns least for the work is given up.
         One that can no longer be in time by itself counts with its late worth, due when the client leaves."""
-        held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
+        held, mean, bound = self.held[s], CAUTION * self.mean_ms[s], self.bound[s]
         down, room, i = self._down(s, now), bound - self.out[s], 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
