One broken connection no longer makes a shelf down; redoable accesses go again

The head took each reset for a dead process: it gave up all that was held there and counted the shelf as cold for its whole warm time. Now it takes four losses with no answer between, or a connection that cannot be made. It covers links that break here and there; it could harm at a shelf that dies and is back before four trips were lost.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -21,7 +21,6 @@
 
 BOUND = 4  # trips out per shelf and head (design: to start)
 CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
-CAUTION = 1.25  # multiple of the mean latency that a trip is reckoned to take
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
 BUCKETS = 400  # thinktimes past the last bucket count in it
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
@@ -30,10 +29,11 @@
 EXTENTS = 4096  # extents remembered, the least recently used goes first
 VOLUMES = 4096  # volumes remembered; only ones whose limit store is full again may go
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+GOES_AGAIN = (Outcome.ERRED, Outcome.FULL, Outcome.BROKEN)  # where the shelf itself may be well
 MAY_STILL_RUN = (Outcome.OVERDUE, Outcome.BROKEN, Outcome.RECALLED)
 SILENT_LATENCIES = 4.0  # a shelf is silent when it has answered nothing for so many mean latencies ...
 SILENT_MS = 400.0  # ... and this on top, so that pauses and flushes pass
-LOST = 4  # trips overdue in a row that make a shelf down
+LOST = 4  # trips overdue or broken in a row, with no answer between, that make a shelf down
 TRIAL_GAP_MS = 250.0  # between careful trips to a shelf that is down
 SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
 FLOOR = 1e-9
@@ -387,7 +387,7 @@
         cfg = self.cfg
         if a.sent >= cfg.try_limit or not self.ready[s] or self._down(s, now):
             return False
-        if outcome not in (Outcome.ERRED, Outcome.FULL) or now + self.mean_ms[s] > a.abandon_ms:
+        if outcome not in GOES_AGAIN or now + self.mean_ms[s] > a.abandon_ms:
             return False
         if not self._may_repeat(a, now, 1):
             return False
@@ -453,7 +453,7 @@
         """Refusal under overload. Each held access is placed at the time its turn should end; where one would
         miss its due time, the one among it and those before it that earns least for the work is given up.
         One that can no longer be in time by itself counts with its late worth, due when the client leaves."""
-        held, mean, bound = self.held[s], CAUTION * self.mean_ms[s], self.bound[s]
+        held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
         down, room, i = self._down(s, now), bound - self.out[s], 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
@@ -547,11 +547,15 @@
             if self.cold_ms[s] is not None:
                 credit = 1.0 + (self.cfg.fall_multiple - 1.0) / 3.0
                 self.flow[s].append((now, -a.units * credit))
-        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN):
+        elif outcome is Outcome.UNREACHED or (outcome is Outcome.BROKEN and self.lost[s] + 1 >= LOST):
             # Its process is gone or out of reach; when it answers again it may have restarted untold: cold.
+            # One broken connection says little: links may break here and there while the shelf is well.
+            self.lost[s] += 1
             self.dead[s] = True
             self.trial_ms[s] = now + TRIAL_GAP_MS
             self.cold_ms[s] = now
+        elif outcome is Outcome.BROKEN:
+            self.lost[s] += 1
         elif outcome is Outcome.OVERDUE:
             self.lost[s] += 1
             if took > self.mean_ms[s]:
