A lone time-out no longer raises a shelf's mean latency

Each time-out of seconds went into the mean, by which everything was then reckoned late and refused. Two losses in a row still count, as at a shelf that has become slow. It could harm where a slow shelf answers every other trip.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -558,7 +558,7 @@
             self.lost[s] += 1
         elif outcome is Outcome.OVERDUE:
             self.lost[s] += 1
-            if took > self.mean_ms[s]:
+            if self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
                 self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
