An access that stands at its expected time counts as late, so no wake repeats itself

Cause: with no mean latency yet, a held access at exactly its expected time was neither late nor sent, and asked for a wake at the same instant again; a scenario never ended.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -461,7 +461,7 @@
             return
         while i < len(held):
             a = held[i]
-            if now + mean > a.due_ms and a.due_ms < a.abandon_ms:
+            if now + mean >= a.due_ms and a.due_ms < a.abandon_ms:
                 if room <= 0 or (bound < BOUND and self.out[s]):  # late worth takes only what nobody wants
                     self._give_up(a)
                     continue
