Recall a trip that three later ones have overtaken and send it again in time

A shelf takes accesses in turn, so a trip overtaken three times and out for four mean latencies (more for large accesses) is taken for lost. It covers any way a trip or its answer vanishes; it could harm at shelfs with many slots and very uneven work, where long work would be done twice.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -27,13 +27,15 @@
 FORGET = 0.26  # weight of a new latency: 95% of the old is gone after ten (paper 3.3)
 STEADY = 0.1  # the same for the slower average that health and refusals go by
 EXTENTS = 4096  # extents remembered, the least recently used goes first
-VOLUMES = 4096  # volumes remembered; only ones whose limit store is full again may go
+VOLUMES = 4096  # volumes remembered; only ones at rest for a minute, full again, may go
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
-GOES_AGAIN = (Outcome.ERRED, Outcome.FULL, Outcome.BROKEN)  # where the shelf itself may be well
+GOES_AGAIN = (Outcome.ERRED, Outcome.FULL, Outcome.BROKEN, Outcome.RECALLED)  # the shelf may be well
 MAY_STILL_RUN = (Outcome.OVERDUE, Outcome.BROKEN, Outcome.RECALLED)
 SILENT_LATENCIES = 4.0  # a shelf is silent when it has answered nothing for so many mean latencies ...
 SILENT_MS = 400.0  # ... and this on top, so that pauses and flushes pass
 LOST = 4  # trips overdue or broken in a row, with no answer between, that make a shelf down
+OVERTAKEN = 3  # later trips answered first, after which a trip ...
+LOST_LATENCIES = 4.0  # ... that has been out for so many mean latencies counts as lost
 TRIAL_GAP_MS = 250.0  # between careful trips to a shelf that is down
 SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
 FLOOR = 1e-9
@@ -77,7 +79,7 @@
 
     __slots__ = ("head", "id", "extent", "profile", "plan", "volume", "set_size", "slot", "units", "shelf",
                  "due_ms", "abandon_ms", "seq", "density", "taken", "sent", "out", "risk_ms", "over",
-                 "held", "streaming", "run", "sent_ms", "trips", "recalls", "answer")  # fmt: skip
+                 "held", "run", "sent_ms", "overtaken", "trips", "recalls", "answer")  # fmt: skip
 
     def __lt__(self, other: Access) -> bool:
         return (self.due_ms, self.seq) < (other.due_ms, other.seq)
@@ -89,8 +91,7 @@
         return self.head._finish(now)
 
     def begun(self, now: float) -> Changes:
-        """The answer has begun to stream: no time-out runs any longer."""
-        self.streaming = True
+        """The answer has begun to stream: it ends by its outcome, and nothing is left to decide."""
         return self.head._finish(now)
 
     def left(self, now: float) -> Changes:
@@ -132,7 +133,7 @@
         # Parallel arrays, one place a shelf, by its index.
         self.names, self.ready, self.slots, self.started = [], [], [], []
         self.cold_ms, self.flow = [], []  # cold since; units sent (+) and, credited, honoured (-) meanwhile
-        self.held, self.out = [], []  # accesses, earliest due first; number of trips
+        self.held, self.away = [], []  # held, earliest due first; with a trip out, oldest first
         self.width, self.bound = [], []  # trips allowed: unrounded, rounded
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
         self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
@@ -151,7 +152,7 @@
         if kind is ListKind.FAILED:
             self._wake(now + self.rng.uniform(500.0, 1500.0), -1)
             return self._finish(now)
-        touched = []
+        touched: list[int] = []
         if kind is not ListKind.CHANGES:
             named = {e.shelf for e in entries}
             touched = [s for s, name in enumerate(self.names) if self.ready[s] and name not in named]
@@ -161,9 +162,8 @@
             s = self.index.get(entry.shelf)
             if s is None:
                 s = self._add_shelf(entry, now)
-            # Rule 3: nothing goes to a shelf from the moment it is told to drain or be gone.
-            self.ready[s] = entry.standing is Standing.READY
             self.slots[s] = entry.slot
+            self.ready[s] = entry.standing is Standing.READY  # rule 3: nothing to it once told otherwise
             if entry.started_ms > self.started[s]:
                 self.started[s] = entry.started_ms
                 if now - entry.started_ms < self.cfg.warm_ms:
@@ -193,7 +193,7 @@
         a.due_ms = min(abandon_ms - self.patience[profile] + a.profile.expected_ms, a.abandon_ms)
         self.seq += 1
         a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
-        a.streaming, a.run, a.sent_ms = False, False, 0.0
+        a.run, a.sent_ms, a.overtaken = False, 0.0, 0
         a.trips, a.recalls, a.answer = [], [], None
         if self.cfg.budget_share is not None:
             self.takes.append(now)
@@ -246,23 +246,22 @@
         if self._down(s, now):
             self._try_carefully(s, now)
             return
-        while held and self.out[s] < BOUND:
+        while held and len(self.away[s]) < BOUND:
             # An access of the finished, awaited or last sent extent goes at once, ahead of the candidate; a
             # narrowed bound does not keep a run apart, the shelf saves work only on what comes together.
             kept = [w[0] for w in waits]
             runs = [done, self.last_extent[s], *kept]
             access = next((a for a in held if a.extent and a.extent in runs and self._may_go(a, now)), None)
             if access is None:
-                if self.out[s] >= self.bound[s]:
-                    break
-                access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
+                if len(self.away[s]) < self.bound[s]:
+                    access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
                 if access is None:
                     break
                 urgent = access.due_ms - now < 2 * self.mean_ms[s]
                 if not urgent and done is not None and self._worth_waiting(s, access, done, now):
                     done = None
                     continue
-                if self.out[s] + len(waits) >= self.bound[s]:
+                if len(self.away[s]) + len(waits) >= self.bound[s]:
                     if not urgent:
                         break
                     waits.pop(0)
@@ -274,10 +273,8 @@
     def _worth_waiting(self, s: int, candidate: Access, done: str, now: float) -> bool:
         """Benefit against cost (paper 3.3); keeps the freed slot for the extent if the wait pays."""
         e = self.extents.get(done)
-        if e is None or e.open or e.answered_ms is None or not e.counts:
-            return False
-        if not self.plain_ms[s] or not self.run_ms[s]:
-            return False  # no average yet: the benefit is 0 (design)
+        if e is None or e.open or e.answered_ms is None or not e.counts or not self.run_ms[s]:
+            return False  # without an average the benefit is 0 (design)
         expected = self.run_ms[s] if candidate.extent == self.last_extent[s] else self.plain_ms[s]
         elapsed = now - e.answered_ms
         until = e.answered_ms + e.quantile(0.95)
@@ -299,31 +296,31 @@
             self._store(a, now).limit -= a.units if a.plan.limit_rate else 0.0
         a.run = a.extent is not None and a.extent == self.last_extent[s] and not a.sent
         a.sent += 1
-        a.out, a.sent_ms = True, now
+        a.out, a.sent_ms, a.overtaken = True, now, 0
         if self.cold_ms[s] is not None:
             self.flow[s].append((now, a.units))
-        if self.out[s] == 0:
+        if not self.away[s]:
             self.heard_ms[s] = now
-        self.out[s] += 1
+        self.away[s].append(a)
         self.last_extent[s] = a.extent
-        until = min(a.abandon_ms, max(a.due_ms, now) + self.mean_ms[s])
-        if self.dead[s] or not self.mean_ms[s]:
-            until = a.abandon_ms
-        a.trips.append(Trip(self.names[s], until))
-        self._wake(now + self._silence(s), s)
+        known = self.mean_ms[s] and not self.dead[s]
+        until = max(a.due_ms, now) + self.mean_ms[s] if known else a.abandon_ms
+        a.trips.append(Trip(self.names[s], min(a.abandon_ms, until)))
+        self._wake(now + SILENT_MS + SILENT_LATENCIES * self.mean_ms[s], s)
         self._changed(a)
 
     def _ended(self, a: Access, now: float, outcome: Outcome, over: bool, took: float) -> None:
         s = a.shelf
         a.out = False
-        self.out[s] -= 1
-        if a.risk_ms is None and outcome not in NEVER_RAN:
-            a.risk_ms = a.sent_ms
+        self.away[s].remove(a)
+        a.risk_ms = a.sent_ms if a.risk_ms is None and outcome not in NEVER_RAN else a.risk_ms
         if a.profile.in_order and a.extent is not None and outcome in MAY_STILL_RUN:
             if len(self.rest_ms) > EXTENTS:
                 self.rest_ms = {k: until for k, until in self.rest_ms.items() if until > now}
             self.rest_ms[a.extent] = now + self.cfg.order_settle_ms
         self._note_health(a, s, now, outcome, took)
+        if outcome is Outcome.HONOURED:
+            self._recall_overtaken(a, s, now)
         if over or a.over:
             self._close(a)
         elif not self._go_again(a, s, now, outcome):
@@ -336,8 +333,7 @@
     def _left(self, a: Access, now: float) -> None:
         if not a.over:
             if a.out and self.cfg.may_recall:
-                a.recalls.append(a.sent - 1)
-                self._changed(a)
+                self._recall(a)
             self._close(a)
             if a.shelf >= 0:
                 self._serve(a.shelf, now, None)
@@ -349,8 +345,7 @@
         if not self.ready[s] or (a.sent and not self._may_repeat(a, now, 0)):
             return False
         if a.profile.in_order and a.extent is not None:  # rule 6
-            line = self.lines[a.extent]
-            if line[0] is not a:
+            if self.lines[a.extent][0] is not a:
                 return False
             rest = self.rest_ms.get(a.extent, now)
             if rest > now and not a.sent:
@@ -384,8 +379,7 @@
 
     def _go_again(self, a: Access, s: int, now: float, outcome: Outcome) -> bool:
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
-        cfg = self.cfg
-        if a.sent >= cfg.try_limit or not self.ready[s] or self._down(s, now):
+        if a.sent >= self.cfg.try_limit or not self.ready[s] or self._down(s, now):
             return False
         if outcome not in GOES_AGAIN or now + self.mean_ms[s] > a.abandon_ms:
             return False
@@ -395,12 +389,13 @@
         insort(self.held[s], a)
         return True
 
-    def _may_repeat(self, a: Access, now: float, new: int) -> bool:
+    def _may_repeat(self, a: Access, now: float, new: int, out: bool = False) -> bool:
         """Rules 2 and 7 for a further trip: looked at when queued (new = 1) and when it leaves."""
         cfg = self.cfg
-        if a.risk_ms is not None and a.profile.repeat is not Repeat.REDOABLE:
+        risk = a.sent_ms if out and a.risk_ms is None else a.risk_ms
+        if risk is not None and a.profile.repeat is not Repeat.REDOABLE:
             labelled = a.profile.repeat is Repeat.LABELLED
-            if not labelled or now > a.risk_ms + a.profile.window_ms - 2 * cfg.step_ms:
+            if not labelled or now > risk + a.profile.window_ms - 2 * cfg.step_ms:
                 return False
         if cfg.budget_share is None:
             return True
@@ -420,8 +415,9 @@
             st = Store()
             st.reserve = st.share = self.cfg.most_units
             st.limit, st.at_ms = 0.0, self.born
-            if len(self.stores) > VOLUMES:
-                self._drop_full_store(now)
+            oldest = next(iter(self.stores.values()), st)
+            if len(self.stores) > VOLUMES and now - oldest.at_ms > 60000.0:
+                self.stores.popitem(last=False)
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
         st.at_ms = now
@@ -432,11 +428,6 @@
         st.share = min(rate + self.cfg.most_units, st.share + passed * rate)
         return st
 
-    def _drop_full_store(self, now: float) -> None:
-        volume, st = next(iter(self.stores.items()))
-        if now - st.at_ms > 60000.0:
-            del self.stores[volume]
-
     def _price(self, a: Access, now: float) -> None:
         """What a unit of the access earns: inside the reserve in full, then the share, then the rest."""
         st = self._store(a, now)
@@ -445,8 +436,7 @@
         st.reserve -= full
         st.share -= part
         a.taken = (full, part)
-        rest = a.units - full - part
-        worth = full + self.cfg.share_worth * part + self.cfg.idle_worth * rest
+        worth = full + self.cfg.share_worth * part + self.cfg.idle_worth * (a.units - full - part)
         a.density = a.profile.importance * a.plan.worth_factor * worth / max(a.units, FLOOR)
 
     def _shed(self, s: int, now: float) -> None:
@@ -454,7 +444,7 @@
         miss its due time, the one among it and those before it that earns least for the work is given up.
         One that can no longer be in time by itself counts with its late worth, due when the client leaves."""
         held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
-        down, room, i = self._down(s, now), bound - self.out[s], 0
+        down, room, i = self._down(s, now), bound - len(self.away[s]), 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
                 self._give_up(a)
@@ -462,7 +452,7 @@
         while i < len(held):
             a = held[i]
             if now + mean >= a.due_ms and a.due_ms < a.abandon_ms:
-                if room <= 0 or (bound < BOUND and self.out[s]):  # late worth takes only what nobody wants
+                if room <= 0 or (bound < BOUND and self.away[s]):  # late worth takes only what nobody wants
                     self._give_up(a)
                     continue
                 held.pop(i)
@@ -514,17 +504,14 @@
 
     # ---- health
 
-    def _silence(self, s: int) -> float:
-        return SILENT_MS + SILENT_LATENCIES * self.mean_ms[s]
-
     def _down(self, s: int, now: float) -> bool:
         """A shelf is down when connections fail or break, or when it has trips out and answers nothing."""
-        silent = self.out[s] > 0 and now - self.heard_ms[s] >= self._silence(s)
-        return self.dead[s] or self.lost[s] >= LOST or silent
+        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self.mean_ms[s]
+        return self.dead[s] or self.lost[s] >= LOST or (quiet and bool(self.away[s]))
 
     def _try_carefully(self, s: int, now: float) -> None:
         """One trip at a time to a shelf that is down; a redoable one first, since it may be lost."""
-        if self.out[s] or now < self.trial_ms[s]:
+        if self.away[s] or now < self.trial_ms[s]:
             return
         for a in sorted(self.held[s], key=lambda a: a.profile.repeat is Repeat.IRREVERSIBLE):
             if self._may_go(a, now):
@@ -547,22 +534,36 @@
             if self.cold_ms[s] is not None:
                 credit = 1.0 + (self.cfg.fall_multiple - 1.0) / 3.0
                 self.flow[s].append((now, -a.units * credit))
-        elif outcome is Outcome.UNREACHED or (outcome is Outcome.BROKEN and self.lost[s] + 1 >= LOST):
-            # Its process is gone or out of reach; when it answers again it may have restarted untold: cold.
-            # One broken connection says little: links may break here and there while the shelf is well.
+        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.OVERDUE):
             self.lost[s] += 1
-            self.dead[s] = True
-            self.trial_ms[s] = now + TRIAL_GAP_MS
-            self.cold_ms[s] = now
-        elif outcome is Outcome.BROKEN:
-            self.lost[s] += 1
-        elif outcome is Outcome.OVERDUE:
-            self.lost[s] += 1
-            if self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
+            # One broken connection says little: links may break here and there while the shelf is well. But a
+            # process gone or out of reach may have restarted untold when it answers again: it counts as cold.
+            broken = outcome is Outcome.BROKEN and self.lost[s] >= LOST
+            if broken or outcome is Outcome.UNREACHED:
+                self.dead[s], self.trial_ms[s], self.cold_ms[s] = True, now + TRIAL_GAP_MS, now
+            elif self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
                 self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
 
+    def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
+        """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
+        so it is recalled and goes again. Harm: long work may be done twice; its units are allowed for."""
+        for a in self.away[s]:
+            if a.sent_ms >= answered.sent_ms:
+                break
+            a.overtaken += 1
+            usual = self.mean_ms[s] * max(1.0, a.units / self.cfg.mean_units)
+            lost = a.overtaken >= OVERTAKEN and now - a.sent_ms >= LOST_LATENCIES * usual
+            useful = not a.over and now + self.mean_ms[s] <= a.due_ms and a.sent < self.cfg.try_limit
+            if lost and useful and self.cfg.may_recall and self._may_repeat(a, now, 1, True):
+                self._recall(a)
+
+    def _recall(self, a: Access) -> None:
+        a.overtaken = -math.inf  # asked for once
+        a.recalls.append(a.sent - 1)
+        self._changed(a)
+
     # ---- small things
 
     def _add_shelf(self, entry: Entry, now: float) -> int:
@@ -570,7 +571,7 @@
         self.index[entry.shelf] = s
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
-            (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.out, 0),
+            (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.away, []),
             (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
             (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
             (self.lost, 0), (self.dead, False), (self.trial_ms, now),
@@ -599,7 +600,7 @@
         if not ready:
             return -1
         pair = self.rng.sample(ready, min(2, len(ready)))
-        return min(pair, key=lambda s: (self.dead[s], self.out[s] + len(self.held[s]), self.mean_ms[s]))
+        return min(pair, key=lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s]))
 
     def _wake(self, at: float, s: int) -> None:
         wake = (math.ceil(at / self.cfg.step_ms) * self.cfg.step_ms, s)
