--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -19,7 +19,6 @@
 from pebblehinge.interface import Answer, Changes, Entry, Final, Group, ListCall, ListKind, Outcome
 from pebblehinge.interface import Repeat, Settings, Standing, Trip
 
-WAITS = False
 BOUND = 4  # trips out per shelf and head (design: to start)
 CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
 BUCKET_MS = 0.5  # width of a thinktime bucket (paper 3.3)
@@ -259,7 +258,7 @@
                 if access is None:
                     break
                 urgent = access.due_ms - now < 2 * self.mean_ms[s]
-                if WAITS and not urgent and done is not None and self._worth_waiting(s, access, done, now):
+                if not urgent and done is not None and self._worth_waiting(s, access, done, now):
                     done = None
                     continue
                 if len(self.away[s]) + len(waits) >= self.bound[s]:
