Clients that come with little patience are due when they leave, not late at arrival

Cause looked for: take() reckoned every try by its first try's clock, so that a first try with less patience than the expected time looked late. It is due when it leaves now; where clients mark their repeats, the mark decides. Kept because it says what is so; the patience now comes from the settings. It covers any client that brings less than its profile's time; harm: a last try late in a client's patience counts in full.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -117,7 +117,6 @@
         self.profiles = {p.name: p for p in settings.profiles}
         plans = settings.plans
         self.rate_by_weight = sum(p.rate for p in plans) / max(FLOOR, sum(p.weight for p in plans))
-        self.patience: dict[str, float] = {}  # the longest a client of a profile was seen to wait
         self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.plans = {p.name: p for p in settings.plans}
         self.index: dict[str, int] = {}
@@ -179,18 +178,21 @@
         return self._finish(now)
 
     def take(self, now: float, id_: int, extent: str | None, profile: str, plan: str, volume: str,
-             set_size: int, slot: int, units: float, abandon_ms: float) -> tuple[Access, Changes]:
-        """A client's access has come: the start of the ordinary path (the rest is _serve)."""
+             set_size: int, slot: int, units: float, abandon_ms: float,
+             repeat: bool | None = None) -> tuple[Access, Changes]:
+        """A client's access has come: the start of the ordinary path (the rest is _serve). A repeat is a
+        client's further try; None where clients do not tell."""
         a = Access()
         a.head, a.id, a.extent, a.volume, a.slot, a.units = self, id_, extent, volume, slot, units
         a.set_size = max(1, set_size)
         a.profile, a.plan = self.profiles[profile], self.plans[plan]
         a.abandon_ms = abandon_ms - 2 * self.cfg.step_ms
-        # A client's clock runs on over its tries: one with less patience left than its profile's longest has
-        # waited before, here or at a head that died, and is due by so much earlier.
-        left = abandon_ms - now
-        self.patience[profile] = max(left, self.patience.get(profile, left))
-        a.due_ms = min(abandon_ms - self.patience[profile] + a.profile.expected_ms, a.abandon_ms)
+        # A client's clock runs on over its tries: one with less patience left than its profile's has waited
+        # before, here or at a head that died, and is due by so much earlier. But one that leaves before an
+        # answer could be late is impatient, not late: due when it leaves. Harm: a last try counts in full.
+        again = repeat if repeat is not None else abandon_ms - now >= a.profile.expected_ms
+        came = abandon_ms - a.profile.patience_ms if again else now
+        a.due_ms = min(came + a.profile.expected_ms, a.abandon_ms)
         self.seq += 1
         a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
         a.run, a.sent_ms, a.overtaken = False, 0.0, 0
--- a/pebblehinge/interface.py
+++ b/pebblehinge/interface.py
@@ -81,6 +81,7 @@
     name: str
     importance: float
     expected_ms: float
+    patience_ms: float
     late_share: float
     repeat: Repeat
     group: Group
@@ -115,6 +116,7 @@
     idle_worth: float
     young_limit: float
     asks_for_list: bool
+    marks_repeats: bool
     may_recall: bool
     may_advise_stay_away: bool
     stay_away_max_ms: float
--- a/pebblehinge/wirehost/codec.py
+++ b/pebblehinge/wirehost/codec.py
@@ -40,6 +40,7 @@
 }
 REPEATS = {"safe": Repeat.REDOABLE, "keyed": Repeat.LABELLED, "unsafe": Repeat.IRREVERSIBLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+REPEAT_BIT = 2  # of an ARRIVAL's options
 CALLS = {ListCall.WATCH: "LISTEN 1", ListCall.FETCH: "LOOKUP"}
 
 
@@ -247,6 +248,7 @@
     except msgspec.DecodeError as error:
         raise WireError(f"HELLO: env: {error}: expected a JSON object") from None
     caps, rules, info = env.sub("ceilings"), env.sub("rules"), env.sub("family_info")
+    habits = _Reader(env.get("client_habits", dict, {}), "client_habits")
     ms = 1000.0
     budget = "repeat_ratio" in rules.raw or "min_extra" in rules.raw
     profiles = tuple(
@@ -254,6 +256,7 @@
             name=row.get("name", str),
             importance=row.get("points", float),
             expected_ms=row.get("on_time_s", float, scale=ms),
+            patience_ms=row.get("give_up_s", float, scale=ms),
             late_share=row.get("late_worth", float, 0.0),
             repeat=row.word("effect", REPEATS),
             group=row.word("group", GROUPS, "all"),
@@ -285,6 +288,7 @@
         idle_worth=info.get("idle_worth", float),
         young_limit=info.get("young_limit", float),
         asks_for_list=env.word("membership_mode", {"push": False, "ask": True}),
+        marks_repeats=habits.get("marks_retry", bool, False),
         may_recall=caps.get("cancel", bool),
         may_advise_stay_away=caps.get("retry_after", bool),
         stay_away_max_ms=caps.get("max_retry_after_s", float, 0.0, scale=ms),
--- a/pebblehinge/wirehost/loop.py
+++ b/pebblehinge/wirehost/loop.py
@@ -77,13 +77,14 @@
     def _call(self, instance: Instance, word: str, values: list[Any], now: float) -> Changes | None:
         head = instance.head
         if word == "ARRIVAL":
-            tid, extent, profile, plan, _, *where = values
+            tid, extent, profile, plan, options, *where = values
             for kind, name, known in (("tier_class", profile, head.profiles), ("tier", plan, head.plans)):
                 if name not in known:
                     raise WireError(f"ARRIVAL: {kind} is {name!r}: expected one of {', '.join(known)}")
             set_size, slot, units, volume, abandon = where
+            repeat = bool(options & codec.REPEAT_BIT) if head.cfg.marks_repeats else None
             access, changes = head.take(
-                now, tid, extent, profile, plan, volume, set_size, slot, units, abandon
+                now, tid, extent, profile, plan, volume, set_size, slot, units, abandon, repeat
             )
             instance.accesses[tid] = access
             return changes
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
     0 list A:0 B:1:draining C:2::-500   the whole list: shelf:slot[:standing[:started]]
     0 change A:0::100                   changes to it;  `cached` and `failed` likewise
     5 take 1 x look gold 2 v=vol n=2 s=0 until=2000     id, extent (- for none), profile, plan, units
+                                        (again=1 or 0 where clients mark their repeats)
     9 end 1 honoured                    the outcome of an access's last trip
     9 left 1                            the client is gone
     9 restart                           a new head, with the list as it was last
@@ -41,14 +42,15 @@
 KINDS = {"list": ListKind.WHOLE, "cached": ListKind.CACHED, "change": ListKind.CHANGES}
 SETTINGS = Settings(
     heads=2, profiles=(), plans=(), mean_units=2.0, most_units=8.0, share_worth=0.3, idle_worth=0.1,
-    young_limit=12.0, asks_for_list=False, may_recall=True, may_advise_stay_away=True, stay_away_max_ms=500.0,
+    young_limit=12.0, asks_for_list=False, marks_repeats=False,
+    may_recall=True, may_advise_stay_away=True, stay_away_max_ms=500.0,
     try_limit=3, step_ms=1.0, cold_share=0.25, warm_ms=10000.0, fall_multiple=4.0, fall_window_ms=1000.0,
     order_settle_ms=0.0, budget_share=None, budget_free=0.0, budget_window_ms=0.0,
 )  # fmt: skip
 
 
 def profile(name: str, repeat: Repeat, group: Group = Group.ALL, due: float = 400.0, **more: bool) -> Profile:
-    return Profile(name, 2.0, due, 0.1, repeat, group, 1000.0, more.get("in_order", False))
+    return Profile(name, 2.0, due, 3000.0, 0.1, repeat, group, 1000.0, more.get("in_order", False))
 
 
 PROFILES = (
@@ -130,6 +132,7 @@
             access, changes = self.head.take(
                 now, id_, extent, words[2], words[3], more.get("v", "vol"), int(more.get("n", 1)),
                 int(more.get("s", 0)), float(words[4]), float(more.get("until", now + 3000)),
+                bool(int(more["again"])) if "again" in more else None,
             )  # fmt: skip
             self.handles[id_] = access
             return self.told(changes)
