--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -26,6 +26,8 @@
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
 FORGET = 0.26  # weight of a new latency: 95% of the old is gone after ten (paper 3.3)
 STEADY = 0.2  # the same for the slower average that health and refusals go by
+AGES_MS = 2000.0  # a shelf's mean latency gives way to that of all shelfs at this pace
+USUAL = 0.05  # weight of a new latency in that
 EXTENTS = 4096  # extents remembered, the least recently used goes first
 VOLUMES = 4096  # volumes remembered; only ones at rest for a minute, full again, may go
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
@@ -126,6 +128,7 @@
         self.lines: dict[str, list[Access]] = {}  # order by key: accesses not over, or with a trip out
         self.rest_ms: dict[str, float] = {}
         self.takes, self.further = deque(), deque()  # trip budget: when accesses and further trips were
+        self.queued = 0  # accesses held for a further trip
         self.wakes: list[tuple[float, int]] = []
         self.asked: set[tuple[float, int]] = set()  # what stands in wakes
         self.changes = Changes()
@@ -136,6 +139,7 @@
         self.width, self.bound = [], []  # trips allowed: unrounded, rounded
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
         self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
+        self.seen_ms, self.usual_ms = [], 0.0  # when the mean was last fed; the mean over all shelfs
         self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
         self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
 
@@ -197,10 +201,8 @@
         a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
         a.run, a.sent_ms, a.overtaken = False, 0.0, 0
         a.trips, a.recalls, a.answer = [], [], None
-        if self.cfg.budget_share is not None:
-            self.takes.append(now)
-            while self.takes[0] <= now - self.cfg.budget_window_ms + 2 * self.cfg.step_ms:
-                self.takes.popleft()
+        self.takes.append(now)
+        self._spare_trips(now)
         self._price(a, now)
         if a.profile.in_order and extent is not None:
             self.lines.setdefault(extent, []).append(a)
@@ -259,7 +261,7 @@
                     access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
                 if access is None:
                     break
-                urgent = access.due_ms - now < 2 * self.mean_ms[s]
+                urgent = access.due_ms - now < 2 * self._mean(s, now)
                 if not urgent and done is not None and self._worth_waiting(s, access, done, now):
                     done = None
                     continue
@@ -292,8 +294,7 @@
         a.held = False
         if a.sent:
             self.further.append(now)
-            while self.further[0] < now - self.cfg.budget_window_ms - 2 * self.cfg.step_ms:
-                self.further.popleft()
+            self.queued -= 1
         else:
             self._store(a, now).limit -= a.units if a.plan.limit_rate else 0.0
         a.run = a.extent is not None and a.extent == self.last_extent[s] and not a.sent
@@ -305,10 +306,10 @@
             self.heard_ms[s] = now
         self.away[s].append(a)
         self.last_extent[s] = a.extent
-        known = self.mean_ms[s] and not self.dead[s]
-        until = max(a.due_ms, now) + self.mean_ms[s] if known else a.abandon_ms
+        known = self.usual_ms and not self.dead[s]
+        until = max(a.due_ms, now) + self._mean(s, now) if known else a.abandon_ms
         a.trips.append(Trip(self.names[s], min(a.abandon_ms, until)))
-        self._wake(now + SILENT_MS + SILENT_LATENCIES * self.mean_ms[s], s)
+        self._wake(now + SILENT_MS + SILENT_LATENCIES * self._mean(s, now), s)
         self._changed(a)
 
     def _ended(self, a: Access, now: float, outcome: Outcome, over: bool, took: float) -> None:
@@ -383,10 +384,11 @@
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
         if a.sent >= self.cfg.try_limit or not self.ready[s] or self._down(s, now):
             return False
-        if outcome not in GOES_AGAIN or now + self.mean_ms[s] > a.abandon_ms:
+        if outcome not in GOES_AGAIN or now + self._mean(s, now) > a.abandon_ms:
             return False
         if not self._may_repeat(a, now, 1):
             return False
+        self.queued += 1
         a.held = True
         insort(self.held[s], a)
         return True
@@ -399,12 +401,18 @@
             labelled = a.profile.repeat is Repeat.LABELLED
             if not labelled or now > risk + a.profile.window_ms - 2 * cfg.step_ms:
                 return False
+        return self._spare_trips(now) >= 1 + new * self.queued
+
+    def _spare_trips(self, now: float) -> float:
+        """Further trips that the budget still allows in a window a little longer than stated, and fewer taken."""
+        cfg = self.cfg
+        while self.takes and self.takes[0] <= now - cfg.budget_window_ms + 2 * cfg.step_ms:
+            self.takes.popleft()
+        while self.further and self.further[0] < now - cfg.budget_window_ms - 2 * cfg.step_ms:
+            self.further.popleft()
         if cfg.budget_share is None:
-            return True
-        taken = sum(1 for t in self.takes if t > now - cfg.budget_window_ms + 2 * cfg.step_ms)
-        made = sum(1 for t in self.further if t >= now - cfg.budget_window_ms - 2 * cfg.step_ms)
-        queued = new * sum(1 for held in self.held for b in held if b.sent)
-        return made + queued + 1 <= cfg.budget_free + cfg.budget_share * taken
+            return math.inf
+        return cfg.budget_free + cfg.budget_share * len(self.takes) - len(self.further)
 
     # ---- worth, limits and refusals
 
@@ -445,7 +453,7 @@
         """Refusal under overload. Each held access is placed at the time its turn should end; where one would
         miss its due time, the one among it and those before it that earns least for the work is given up.
         One that can no longer be in time by itself counts with its late worth, due when the client leaves."""
-        held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
+        held, mean, bound = self.held[s], self._mean(s, now), self.bound[s]
         down, room, i = self._down(s, now), bound - len(self.away[s]), 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
@@ -490,6 +498,7 @@
         if a.held:
             self.held[a.shelf].remove(a)
             a.held = False
+            self.queued -= a.sent > 0
         if not a.over:
             a.over = True
             e = self.extents.get(a.extent) if a.extent is not None else None
@@ -508,7 +517,7 @@
 
     def _down(self, s: int, now: float) -> bool:
         """A shelf is down when connections fail or break, or when it has trips out and answers nothing."""
-        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self.mean_ms[s]
+        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self._mean(s, now)
         return self.dead[s] or self.lost[s] >= LOST or (quiet and bool(self.away[s]))
 
     def _try_carefully(self, s: int, now: float) -> None:
@@ -532,7 +541,7 @@
             self.bound[s] = int(self.width[s] + 0.5)
             split = self.run_ms if a.run else self.plain_ms
             split[s] += FORGET * (took - split[s]) if split[s] else took
-            self.mean_ms[s] += STEADY * (took - self.mean_ms[s]) if self.mean_ms[s] else took
+            self._learn(s, now, took)
             if self.cold_ms[s] is not None:
                 credit = 1.0 + (self.cfg.fall_multiple - 1.0) / 3.0
                 self.flow[s].append((now, -a.units * credit))
@@ -543,11 +552,22 @@
             broken = outcome is Outcome.BROKEN and self.lost[s] >= LOST
             if broken or outcome is Outcome.UNREACHED:
                 self.dead[s], self.trial_ms[s], self.cold_ms[s] = True, now + TRIAL_GAP_MS, now
-            elif self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
-                self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
+            elif self.lost[s] > 1 and took > self._mean(s, now):  # a lone loss is no sign of a slow shelf
+                self._learn(s, now, took)
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
 
+    def _mean(self, s: int, now: float) -> float:
+        """A shelf's mean latency as far as its answers are fresh; old ones give way to what all shelfs do, since
+        a head that refuses by an old figure never gets a better one. Harm: a slow shelf is tried again sooner."""
+        return self.usual_ms + (self.mean_ms[s] - self.usual_ms) * math.exp((self.seen_ms[s] - now) / AGES_MS)
+
+    def _learn(self, s: int, now: float, took: float) -> None:
+        old = self._mean(s, now) if self.seen_ms[s] > -math.inf else took
+        self.mean_ms[s] = old + STEADY * (took - old)
+        self.usual_ms += USUAL * (took - self.usual_ms) if self.usual_ms else took
+        self.seen_ms[s] = now
+
     def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
         """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
         so it is recalled and goes again. Harm: long work may be done twice; its units are allowed for."""
@@ -555,9 +575,9 @@
             if a.sent_ms >= answered.sent_ms:
                 break
             a.overtaken += 1
-            usual = self.mean_ms[s] * max(1.0, a.units / self.cfg.mean_units)
+            usual = self._mean(s, now) * max(1.0, a.units / self.cfg.mean_units)
             lost = a.overtaken >= OVERTAKEN and now - a.sent_ms >= LOST_LATENCIES * usual
-            useful = not a.over and now + self.mean_ms[s] <= a.due_ms and a.sent < self.cfg.try_limit
+            useful = not a.over and now + usual <= a.due_ms and a.sent < self.cfg.try_limit
             if lost and useful and self.cfg.may_recall and self._may_repeat(a, now, 1, True):
                 self._recall(a)
 
@@ -575,7 +595,7 @@
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
             (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.away, []),
             (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
-            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
+            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.seen_ms, -math.inf), (self.heard_ms, now),
             (self.lost, 0), (self.dead, False), (self.trial_ms, now),
         ):  # fmt: skip
             column.append(value)
