What earns less than usual needs more room to spare on a crowded shelf, by size and worth

Cause: with many heads a shelf each head holds one access at a time, so that choosing a victim among what is held chooses nothing; and the mean latency of all sizes refused small accesses on fast shelfs (of standard's impatient reads refused at once, 59% had neighbours answered in two thirds of their time). Covers any crowding that shows as long trips; harm: on idle shelfs with one long old answer, cheap accesses are refused that could be served.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -26,8 +26,6 @@
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
 FORGET = 0.26  # weight of a new latency: 95% of the old is gone after ten (paper 3.3)
 STEADY = 0.2  # the same for the slower average that health and refusals go by
-AGES_MS = 2000.0  # a shelf's mean latency gives way to that of all shelfs at this pace
-USUAL = 0.05  # weight of a new latency in that
 EXTENTS = 4096  # extents remembered, the least recently used goes first
 VOLUMES = 4096  # volumes remembered; only ones at rest for a minute, full again, may go
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
@@ -40,6 +38,9 @@
 LOST_LATENCIES = 4.0  # ... that has been out for so many mean latencies counts as lost
 TRIAL_GAP_MS = 250.0  # between careful trips to a shelf that is down
 SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
+LEAD = 3.0  # what a volume's lead head gets of it, in even parts
+TEMPER = 1.5  # how much more room what earns less than usual needs
+SETTLE = 0.02  # weight of a new access in the usual worth
 FLOOR = 1e-9
 
 
@@ -54,10 +55,7 @@
         self.open = 0
 
     def note(self, thinktime_ms: float) -> None:
-        for bucket in list(self.counts):
-            self.counts[bucket] *= FADE
-            if self.counts[bucket] < 0.01:
-                del self.counts[bucket]
+        self.counts = {b: n * FADE for b, n in self.counts.items() if n * FADE >= 0.01}
         bucket = min(int(thinktime_ms / BUCKET_MS), BUCKETS)
         self.counts[bucket] = self.counts.get(bucket, 0.0) + 1.0
 
@@ -80,7 +78,7 @@
     """The handle of one access. What the last call changed is in trips, recalls and answer."""
 
     __slots__ = ("head", "id", "extent", "profile", "plan", "volume", "set_size", "slot", "units", "shelf",
-                 "due_ms", "abandon_ms", "seq", "density", "taken", "sent", "out", "risk_ms", "over",
+                 "due_ms", "abandon_ms", "seq", "size", "density", "taken", "sent", "out", "risk_ms", "over",
                  "held", "run", "sent_ms", "overtaken", "trips", "recalls", "answer")  # fmt: skip
 
     def __lt__(self, other: Access) -> bool:
@@ -112,9 +110,8 @@
     """One instance: what one head knows and decides."""
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
-        self.cfg = settings
+        self.cfg, self.born = settings, now
         self.rng = random.Random(seed)
-        self.born = now
         self.seq = 0
         self.profiles = {p.name: p for p in settings.profiles}
         plans = settings.plans
@@ -128,6 +125,7 @@
         self.lines: dict[str, list[Access]] = {}  # order by key: accesses not over, or with a trip out
         self.rest_ms: dict[str, float] = {}
         self.takes, self.further = deque(), deque()  # trip budget: when accesses and further trips were
+        self.usual_worth = 0.0  # what a unit of an access earns in the mean
         self.queued = 0  # accesses held for a further trip
         self.wakes: list[tuple[float, int]] = []
         self.asked: set[tuple[float, int]] = set()  # what stands in wakes
@@ -139,7 +137,6 @@
         self.width, self.bound = [], []  # trips allowed: unrounded, rounded
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
         self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
-        self.seen_ms, self.usual_ms = [], 0.0  # when the mean was last fed; the mean over all shelfs
         self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
         self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
 
@@ -155,12 +152,10 @@
         if kind is ListKind.FAILED:
             self._wake(now + self.rng.uniform(500.0, 1500.0), -1)
             return self._finish(now)
-        touched: list[int] = []
-        if kind is not ListKind.CHANGES:
-            named = {e.shelf for e in entries}
-            touched = [s for s, name in enumerate(self.names) if self.ready[s] and name not in named]
-            for s in touched:
-                self.ready[s] = False
+        named = self.index if kind is ListKind.CHANGES else {e.shelf for e in entries}
+        touched = [s for s, name in enumerate(self.names) if self.ready[s] and name not in named]
+        for s in touched:
+            self.ready[s] = False
         for entry in entries:
             s = self.index.get(entry.shelf)
             if s is None:
@@ -189,6 +184,7 @@
         a = Access()
         a.head, a.id, a.extent, a.volume, a.slot, a.units = self, id_, extent, volume, slot, units
         a.set_size = max(1, set_size)
+        a.size = (1.0 + units / self.cfg.mean_units) / 2  # half of a latency goes by size, half is waiting
         a.profile, a.plan = self.profiles[profile], self.plans[plan]
         a.abandon_ms = abandon_ms - 2 * self.cfg.step_ms
         # A client's clock runs on over its tries: one with less patience left than its profile's has waited
@@ -247,8 +243,12 @@
             waits.clear()  # it waits only while others are queued (design)
             return
         waits[:] = [w for w in waits if w[1] > now]
-        if self._down(s, now):
-            self._try_carefully(s, now)
+        if self._down(s, now):  # one trip at a time; a redoable one first, since it may be lost
+            free = [] if self.away[s] or now < self.trial_ms[s] else held
+            trials = sorted(free, key=lambda a: a.profile.repeat is Repeat.IRREVERSIBLE)
+            for a in [a for a in trials if self._may_go(a, now)][:1]:
+                self.trial_ms[s] = now + TRIAL_GAP_MS
+                self._send(a, now)
             return
         while held and len(self.away[s]) < BOUND:
             # An access of the finished, awaited or last sent extent goes at once, ahead of the candidate; a
@@ -261,7 +261,7 @@
                     access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
                 if access is None:
                     break
-                urgent = access.due_ms - now < 2 * self._mean(s, now)
+                urgent = access.due_ms - now < 2 * self.mean_ms[s]
                 if not urgent and done is not None and self._worth_waiting(s, access, done, now):
                     done = None
                     continue
@@ -306,10 +306,9 @@
             self.heard_ms[s] = now
         self.away[s].append(a)
         self.last_extent[s] = a.extent
-        known = self.usual_ms and not self.dead[s]
-        until = max(a.due_ms, now) + self._mean(s, now) if known else a.abandon_ms
-        a.trips.append(Trip(self.names[s], min(a.abandon_ms, until)))
-        self._wake(now + SILENT_MS + SILENT_LATENCIES * self._mean(s, now), s)
+        past = math.inf if self.dead[s] else self.mean_ms[s] * a.size or math.inf
+        a.trips.append(Trip(self.names[s], min(a.abandon_ms, max(a.due_ms, now) + past)))
+        self._wake(now + SILENT_MS + SILENT_LATENCIES * self.mean_ms[s], s)
         self._changed(a)
 
     def _ended(self, a: Access, now: float, outcome: Outcome, over: bool, took: float) -> None:
@@ -382,9 +381,8 @@
 
     def _go_again(self, a: Access, s: int, now: float, outcome: Outcome) -> bool:
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
-        if a.sent >= self.cfg.try_limit or not self.ready[s] or self._down(s, now):
-            return False
-        if outcome not in GOES_AGAIN or now + self._mean(s, now) > a.abandon_ms:
+        late = a.sent >= self.cfg.try_limit or now + self.mean_ms[s] * a.size > a.abandon_ms
+        if late or outcome not in GOES_AGAIN or not self.ready[s] or self._down(s, now):
             return False
         if not self._may_repeat(a, now, 1):
             return False
@@ -404,7 +402,7 @@
         return self._spare_trips(now) >= 1 + new * self.queued
 
     def _spare_trips(self, now: float) -> float:
-        """Further trips that the budget still allows in a window a little longer than stated, and fewer taken."""
+        """Further trips still allowed: those made count a little longer than stated, accesses shorter."""
         cfg = self.cfg
         while self.takes and self.takes[0] <= now - cfg.budget_window_ms + 2 * cfg.step_ms:
             self.takes.popleft()
@@ -425,16 +423,16 @@
             st = Store()
             st.reserve = st.share = self.cfg.most_units
             st.limit, st.at_ms = 0.0, self.born
-            oldest = next(iter(self.stores.values()), st)
-            if len(self.stores) > VOLUMES and now - oldest.at_ms > 60000.0:
+            if len(self.stores) > VOLUMES and now - next(iter(self.stores.values())).at_ms > 60000.0:
                 self.stores.popitem(last=False)
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
         st.at_ms = now
         st.limit = min((plan.limit_burst + plan.limit_slack) / n, st.limit + passed * plan.limit_rate / n)
-        # Any head of a volume may be its lead, none knows what comes through the others: all of it counts.
-        st.reserve = min(plan.reserve + self.cfg.most_units, st.reserve + passed * plan.reserve)
-        rate = SHARE_RATES * self.rate_by_weight * plan.weight
+        # None knows what comes through the others, and any may be the volume's lead for a while.
+        part = min(1.0, LEAD / n)
+        st.reserve = min(part * plan.reserve + self.cfg.most_units, st.reserve + passed * part * plan.reserve)
+        rate = SHARE_RATES * self.rate_by_weight * plan.weight * part
         st.share = min(rate + self.cfg.most_units, st.share + passed * rate)
         return st
 
@@ -448,12 +446,15 @@
         a.taken = (full, part)
         worth = full + self.cfg.share_worth * part + self.cfg.idle_worth * (a.units - full - part)
         a.density = a.profile.importance * a.plan.worth_factor * worth / max(a.units, FLOOR)
+        self.usual_worth += max(SETTLE, 1 / self.seq) * (a.density - self.usual_worth)
 
     def _shed(self, s: int, now: float) -> None:
         """Refusal under overload. Each held access is placed at the time its turn should end; where one would
         miss its due time, the one among it and those before it that earns least for the work is given up.
-        One that can no longer be in time by itself counts with its late worth, due when the client leaves."""
-        held, mean, bound = self.held[s], self._mean(s, now), self.bound[s]
+        One that can no longer be in time by itself counts with its late worth, due when the client leaves.
+        Many heads share a shelf and each holds little to choose from: what earns less than usual here needs
+        more room to spare, what earns more needs less. Harm: some that the shelf could have served."""
+        held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
         down, room, i = self._down(s, now), bound - len(self.away[s]), 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
@@ -461,7 +462,8 @@
             return
         while i < len(held):
             a = held[i]
-            if now + mean >= a.due_ms and a.due_ms < a.abandon_ms:
+            needs = mean * a.size * (self.usual_worth / max(a.density, FLOOR)) ** TEMPER
+            if now + needs >= a.due_ms and a.due_ms < a.abandon_ms:
                 if room <= 0 or (bound < BOUND and self.away[s]):  # late worth takes only what nobody wants
                     self._give_up(a)
                     continue
@@ -470,7 +472,7 @@
                 a.density *= a.profile.late_share
                 insort(held, a)
                 continue
-            end = now + mean * (1 + max(0, i + 1 - room) / bound)
+            end = now + needs + mean * max(0, i + 1 - room) / bound
             if end > a.due_ms or now >= a.abandon_ms or (down and i):
                 victim = min(held[: i + 1], key=lambda b: (b.density, -b.due_ms, -b.seq))
                 self._give_up(victim)
@@ -501,35 +503,24 @@
             self.queued -= a.sent > 0
         if not a.over:
             a.over = True
-            e = self.extents.get(a.extent) if a.extent is not None else None
-            if e is not None:
-                e.open = max(0, e.open - 1)
+            if a.extent in self.extents:
+                self.extents[a.extent].open -= self.extents[a.extent].open > 0
         if a.profile.in_order and a.extent is not None and not a.out:
             line = self.lines.get(a.extent, [])
             if a in line:
                 line.remove(a)
-            if line and line[0].shelf >= 0:
-                self._wake(self.rest_ms.get(a.extent, self.born), line[0].shelf)
-            elif not line:
+            if not line:
                 self.lines.pop(a.extent, None)
+            elif line[0].shelf >= 0:
+                self._wake(self.rest_ms.get(a.extent, self.born), line[0].shelf)
 
     # ---- health
 
     def _down(self, s: int, now: float) -> bool:
         """A shelf is down when connections fail or break, or when it has trips out and answers nothing."""
-        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self._mean(s, now)
+        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self.mean_ms[s]
         return self.dead[s] or self.lost[s] >= LOST or (quiet and bool(self.away[s]))
 
-    def _try_carefully(self, s: int, now: float) -> None:
-        """One trip at a time to a shelf that is down; a redoable one first, since it may be lost."""
-        if self.away[s] or now < self.trial_ms[s]:
-            return
-        for a in sorted(self.held[s], key=lambda a: a.profile.repeat is Repeat.IRREVERSIBLE):
-            if self._may_go(a, now):
-                self._send(a, now)
-                self.trial_ms[s] = now + TRIAL_GAP_MS
-                break
-
     def _note_health(self, a: Access, s: int, now: float, outcome: Outcome, took: float) -> None:
         if outcome is Outcome.HONOURED:
             self.heard_ms[s] = now
@@ -541,7 +532,8 @@
             self.bound[s] = int(self.width[s] + 0.5)
             split = self.run_ms if a.run else self.plain_ms
             split[s] += FORGET * (took - split[s]) if split[s] else took
-            self._learn(s, now, took)
+            took /= a.size
+            self.mean_ms[s] += STEADY * (took - self.mean_ms[s]) if self.mean_ms[s] else took
             if self.cold_ms[s] is not None:
                 credit = 1.0 + (self.cfg.fall_multiple - 1.0) / 3.0
                 self.flow[s].append((now, -a.units * credit))
@@ -552,22 +544,11 @@
             broken = outcome is Outcome.BROKEN and self.lost[s] >= LOST
             if broken or outcome is Outcome.UNREACHED:
                 self.dead[s], self.trial_ms[s], self.cold_ms[s] = True, now + TRIAL_GAP_MS, now
-            elif self.lost[s] > 1 and took > self._mean(s, now):  # a lone loss is no sign of a slow shelf
-                self._learn(s, now, took)
+            elif self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
+                self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
 
-    def _mean(self, s: int, now: float) -> float:
-        """A shelf's mean latency as far as its answers are fresh; old ones give way to what all shelfs do, since
-        a head that refuses by an old figure never gets a better one. Harm: a slow shelf is tried again sooner."""
-        return self.usual_ms + (self.mean_ms[s] - self.usual_ms) * math.exp((self.seen_ms[s] - now) / AGES_MS)
-
-    def _learn(self, s: int, now: float, took: float) -> None:
-        old = self._mean(s, now) if self.seen_ms[s] > -math.inf else took
-        self.mean_ms[s] = old + STEADY * (took - old)
-        self.usual_ms += USUAL * (took - self.usual_ms) if self.usual_ms else took
-        self.seen_ms[s] = now
-
     def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
         """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
         so it is recalled and goes again. Harm: long work may be done twice; its units are allowed for."""
@@ -575,7 +556,7 @@
             if a.sent_ms >= answered.sent_ms:
                 break
             a.overtaken += 1
-            usual = self._mean(s, now) * max(1.0, a.units / self.cfg.mean_units)
+            usual = self.mean_ms[s] * max(1.0, a.size)
             lost = a.overtaken >= OVERTAKEN and now - a.sent_ms >= LOST_LATENCIES * usual
             useful = not a.over and now + usual <= a.due_ms and a.sent < self.cfg.try_limit
             if lost and useful and self.cfg.may_recall and self._may_repeat(a, now, 1, True):
@@ -595,7 +576,7 @@
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
             (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.away, []),
             (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
-            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.seen_ms, -math.inf), (self.heard_ms, now),
+            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
             (self.lost, 0), (self.dead, False), (self.trial_ms, now),
         ):  # fmt: skip
             column.append(value)
@@ -619,10 +600,9 @@
     def _pick_new(self) -> int:
         """A new object: two shelfs drawn at random, the one that this head's own counts favour."""
         ready = sorted(self.at_slot.values())
-        if not ready:
-            return -1
         pair = self.rng.sample(ready, min(2, len(ready)))
-        return min(pair, key=lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s]))
+        count = lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s])  # noqa: E731
+        return min(pair, key=count, default=-1)
 
     def _wake(self, at: float, s: int) -> None:
         wake = (math.ceil(at / self.cfg.step_ms) * self.cfg.step_ms, s)
