Cold shelfs by turns: each head lets through the part that the shelf surely can do

An access whose units of a limit cannot come in time is given up at once instead of at its due time. Harm: a suspected restart that was none costs some seconds; much more asked than usual comes nearer the limit.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -40,6 +40,7 @@
 SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
 LEAD = 3.0  # what a volume's lead head gets of it, in even parts
 TEMPER = 1.5  # how much more room what earns less than usual needs
+COLD_PART = 0.4  # of the multiple of what a cold shelf surely can do, let through while the usual is asked
 SETTLE = 0.02  # weight of a new access in the usual worth
 FLOOR = 1e-9
 
@@ -47,9 +48,10 @@
 class Extent:
     """What is known of the thinktimes of one extent."""
 
-    __slots__ = ("counts", "answered_ms", "open")
+    __slots__ = ("counts", "answered_ms", "open", "turn")
 
-    def __init__(self) -> None:
+    def __init__(self, turn: float) -> None:
+        self.turn = turn  # at a cold shelf; a client's next try draws no new one
         self.counts: dict[int, float] = {}
         self.answered_ms: float | None = None
         self.open = 0
@@ -78,8 +80,9 @@
     """The handle of one access. What the last call changed is in trips, recalls and answer."""
 
     __slots__ = ("head", "id", "extent", "profile", "plan", "volume", "set_size", "slot", "units", "shelf",
-                 "due_ms", "abandon_ms", "seq", "size", "density", "taken", "sent", "out", "risk_ms", "over",
-                 "held", "run", "sent_ms", "overtaken", "trips", "recalls", "answer")  # fmt: skip
+                 "due_ms", "abandon_ms", "seq", "size", "turn", "density", "taken", "sent", "out",
+                 "risk_ms", "over", "held", "run", "sent_ms", "overtaken", "trips", "recalls",
+                 "answer")  # fmt: skip
 
     def __lt__(self, other: Access) -> bool:
         return (self.due_ms, self.seq) < (other.due_ms, other.seq)
@@ -131,8 +134,7 @@
         self.asked: set[tuple[float, int]] = set()  # what stands in wakes
         self.changes = Changes()
         # Parallel arrays, one place a shelf, by its index.
-        self.names, self.ready, self.slots, self.started = [], [], [], []
-        self.cold_ms, self.flow = [], []  # cold since; units sent (+) and, credited, honoured (-) meanwhile
+        self.names, self.ready, self.slots, self.started, self.cold_ms = [], [], [], [], []  # cold since, or None
         self.held, self.away = [], []  # held, earliest due first; with a trip out, oldest first
         self.width, self.bound = [], []  # trips allowed: unrounded, rounded
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
@@ -165,7 +167,7 @@
             if entry.started_ms > self.started[s]:
                 self.started[s] = entry.started_ms
                 if now - entry.started_ms < self.cfg.warm_ms:
-                    self.cold_ms[s] = entry.started_ms
+                    self._chill(s, entry.started_ms)
                     self.dead[s] = False
             touched.append(s)
         self.at_slot = {}
@@ -179,11 +181,11 @@
     def take(self, now: float, id_: int, extent: str | None, profile: str, plan: str, volume: str,
              set_size: int, slot: int, units: float, abandon_ms: float,
              repeat: bool | None = None) -> tuple[Access, Changes]:
-        """A client's access has come: the start of the ordinary path (the rest is _serve). A repeat is a
-        client's further try; None where clients do not tell."""
+        """A client's access has come; a repeat is its further try, None if not told. _serve goes on."""
         a = Access()
         a.head, a.id, a.extent, a.volume, a.slot, a.units = self, id_, extent, volume, slot, units
         a.set_size = max(1, set_size)
+        a.turn = self.rng.random()
         a.size = (1.0 + units / self.cfg.mean_units) / 2  # half of a latency goes by size, half is waiting
         a.profile, a.plan = self.profiles[profile], self.plans[plan]
         a.abandon_ms = abandon_ms - 2 * self.cfg.step_ms
@@ -203,7 +205,8 @@
         if a.profile.in_order and extent is not None:
             self.lines.setdefault(extent, []).append(a)
         if extent is not None:
-            e = self.extents.pop(extent, None) or Extent()
+            e = self.extents.pop(extent, None) or Extent(a.turn)
+            a.turn = e.turn
             self.extents[extent] = e
             if e.open == 0 and e.answered_ms is not None:
                 e.note(now - e.answered_ms)
@@ -300,8 +303,6 @@
         a.run = a.extent is not None and a.extent == self.last_extent[s] and not a.sent
         a.sent += 1
         a.out, a.sent_ms, a.overtaken = True, now, 0
-        if self.cold_ms[s] is not None:
-            self.flow[s].append((now, a.units))
         if not self.away[s]:
             self.heard_ms[s] = now
         self.away[s].append(a)
@@ -353,38 +354,34 @@
             if rest > now and not a.sent:
                 self._wake(rest, s)
                 return False
+        at = self._earliest(a, now)
+        if at > now:
+            self._wake(at, s)
+        return at <= now
+
+    def _earliest(self, a: Access, now: float) -> float:
+        """When an access may go, by its volume's limit and by the warmth of its shelf."""
+        at, s, cfg = now, a.shelf, self.cfg
         if a.plan.limit_rate and not a.sent:  # rule 5: hold for units rather than pass the limit
             lack = a.units - self._store(a, now).limit
-            if lack > FLOOR:
-                self._wake(now + lack * a.set_size / a.plan.limit_rate * 1000.0 + 1.0, s)
-                return False
-        return self.cold_ms[s] is None or self._cold_room(s, a.units, now)
-
-    def _cold_room(self, s: int, units: float, now: float) -> bool:
-        """Rule 4. A head's even part of what a cold shelf always bears, grown as it surely warms, is safe on
-        its own; beyond it, what the shelf has honoured for this head shows what it can do: each honoured unit
-        lets a little more than one through, well under the multiple. Harm: slow warm-up after a restart."""
-        cfg, since = self.cfg, self.cold_ms[s]
-        if now - since >= cfg.warm_ms:
+            at = now if lack <= FLOOR else now + lack * a.set_size / a.plan.limit_rate * 1000.0 + 1.0
+        since = self.cold_ms[s]
+        if since is None or now - since >= cfg.warm_ms:
             self.cold_ms[s] = None
-            self.flow[s].clear()
-            return True
-        flow = self.flow[s]
-        while flow and flow[0][0] <= now - cfg.fall_window_ms - 2 * cfg.step_ms:
-            flow.popleft()
-        warmth = 1.0 + (1.0 / max(cfg.cold_share, 0.01) - 1.0) * max(0.0, now - since) / cfg.warm_ms
-        room = cfg.young_limit / cfg.heads * warmth - sum(u for _, u in flow)
-        if room >= units:
-            return True
-        self._wake(flow[0][0] + cfg.fall_window_ms + 3 * cfg.step_ms if flow else now + 200.0, s)
-        return False
+            return at
+        # Rule 4: of what asks for a cold shelf, all heads let through about the part that it surely can do by
+        # now, far enough from the multiple; each draws turns by itself, and what earns more has more of them.
+        # Answers then tell more: one trip at a time at first, fewer where they take long. Harm: a suspected
+        # restart that was none, and much more asked than usual.
+        turn = a.turn * self.usual_worth / max(a.density, FLOOR) / (COLD_PART * cfg.fall_multiple)
+        warms = cfg.warm_ms / max(FLOOR, 1.0 - cfg.cold_share)
+        return max(at, min(since + cfg.warm_ms, since + (turn - cfg.cold_share) * warms))
 
     def _go_again(self, a: Access, s: int, now: float, outcome: Outcome) -> bool:
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
-        late = a.sent >= self.cfg.try_limit or now + self.mean_ms[s] * a.size > a.abandon_ms
-        if late or outcome not in GOES_AGAIN or not self.ready[s] or self._down(s, now):
-            return False
-        if not self._may_repeat(a, now, 1):
+        vain = not self.ready[s] or now + self.mean_ms[s] * a.size > a.abandon_ms
+        vain = vain or a.sent >= self.cfg.try_limit or outcome not in GOES_AGAIN
+        if vain or self._down(s, now) or not self._may_repeat(a, now, 1):
             return False
         self.queued += 1
         a.held = True
@@ -462,7 +459,11 @@
             return
         while i < len(held):
             a = held[i]
+            ready = self._earliest(a, now)
             needs = mean * a.size * (self.usual_worth / max(a.density, FLOOR)) ** TEMPER
+            if ready > now and ready + needs > a.due_ms:  # at whatever cost to others
+                self._give_up(a)
+                continue
             if now + needs >= a.due_ms and a.due_ms < a.abandon_ms:
                 if room <= 0 or (bound < BOUND and self.away[s]):  # late worth takes only what nobody wants
                     self._give_up(a)
@@ -487,8 +488,7 @@
         repeat, group = a.profile.repeat, a.profile.group
         clean = a.risk_ms is None or repeat is Repeat.REDOABLE or (
             repeat is Repeat.LABELLED and group is Group.ALL)  # fmt: skip
-        stay = self.cfg.stay_away_max_ms if self.cfg.may_advise_stay_away else 0.0
-        a.answer = Answer(Final.PUSHED_BACK, stay) if clean else Answer(Final.TERMINATED)
+        a.answer = Answer(Final.PUSHED_BACK, self.cfg.stay_away_max_ms) if clean else Answer(Final.TERMINATED)
         st = self.stores.get(a.volume)
         if st is not None and not a.sent:  # what it would have earned is still due to others of its volume
             st.reserve += a.taken[0]
@@ -534,21 +534,22 @@
             split[s] += FORGET * (took - split[s]) if split[s] else took
             took /= a.size
             self.mean_ms[s] += STEADY * (took - self.mean_ms[s]) if self.mean_ms[s] else took
-            if self.cold_ms[s] is not None:
-                credit = 1.0 + (self.cfg.fall_multiple - 1.0) / 3.0
-                self.flow[s].append((now, -a.units * credit))
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.OVERDUE):
             self.lost[s] += 1
             # One broken connection says little: links may break here and there while the shelf is well. But a
             # process gone or out of reach may have restarted untold when it answers again: it counts as cold.
             broken = outcome is Outcome.BROKEN and self.lost[s] >= LOST
             if broken or outcome is Outcome.UNREACHED:
-                self.dead[s], self.trial_ms[s], self.cold_ms[s] = True, now + TRIAL_GAP_MS, now
+                self.dead[s], self.trial_ms[s] = True, now + TRIAL_GAP_MS
+                self._chill(s, now)
             elif self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
                 self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
 
+    def _chill(self, s: int, since: float) -> None:
+        self.cold_ms[s], self.width[s], self.bound[s] = since, 1.0, 1
+
     def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
         """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
         so it is recalled and goes again. Harm: long work may be done twice; its units are allowed for."""
@@ -574,7 +575,7 @@
         self.index[entry.shelf] = s
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
-            (self.cold_ms, None), (self.flow, deque()), (self.held, []), (self.away, []),
+            (self.cold_ms, None), (self.held, []), (self.away, []),
             (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
             (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
             (self.lost, 0), (self.dead, False), (self.trial_ms, now),
--- a/pebblehinge/interface.py
+++ b/pebblehinge/interface.py
@@ -118,8 +118,7 @@
     asks_for_list: bool
     marks_repeats: bool
     may_recall: bool
-    may_advise_stay_away: bool
-    stay_away_max_ms: float
+    stay_away_max_ms: float  # 0 where none may be given
     try_limit: int
     step_ms: float
     cold_share: float
