--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -26,22 +26,22 @@
 FADE = 0.9  # what is left of the counts at each new thinktime (paper 3.3)
 FORGET = 0.26  # weight of a new latency: 95% of the old is gone after ten (paper 3.3)
 STEADY = 0.2  # the same for the slower average that health and refusals go by
-EXTENTS = 4096  # extents remembered, the least recently used goes first
-VOLUMES = 4096  # volumes remembered; only ones at rest for a minute, full again, may go
+AGES_MS = 2000.0  # a shelf's mean latency gives way to that of all shelfs at this pace
+REMEMBERED = 4096  # extents, and volumes at rest for a minute: the least recently used goes first
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 GOES_AGAIN = (Outcome.ERRED, Outcome.FULL, Outcome.BROKEN, Outcome.RECALLED)  # the shelf may be well
 MAY_STILL_RUN = (Outcome.OVERDUE, Outcome.BROKEN, Outcome.RECALLED)
-SILENT_LATENCIES = 4.0  # a shelf is silent when it has answered nothing for so many mean latencies ...
+LATENCIES = 4.0  # a shelf is silent when it has answered nothing for so many mean latencies ...
 SILENT_MS = 400.0  # ... and this on top, so that pauses and flushes pass
 LOST = 4  # trips overdue or broken in a row, with no answer between, that make a shelf down
-OVERTAKEN = 3  # later trips answered first, after which a trip ...
-LOST_LATENCIES = 4.0  # ... that has been out for so many mean latencies counts as lost
+OVERTAKEN = 3  # later trips answered first, after which a trip out for as many latencies counts as lost
 TRIAL_GAP_MS = 250.0  # between careful trips to a shelf that is down
 SHARE_RATES = 3.0  # a volume's share beyond its reserve, by weight, as a multiple of the plans' usual rates
 LEAD = 3.0  # what a volume's lead head gets of it, in even parts
-TEMPER = 1.5  # how much more room what earns less than usual needs
+IDLE = 1.7  # what an idle shelf takes, in lower quartiles of the latencies of all shelfs
+TEMPER = 2.0  # how much more room what earns less than usual needs
 COLD_PART = 0.4  # of the multiple of what a cold shelf surely can do, let through while the usual is asked
-SETTLE = 0.02  # weight of a new access in the usual worth
+FOLLOW = 0.03  # by how much what a head knows over all shelfs follows one answer or access
 FLOOR = 1e-9
 
 
@@ -79,10 +79,8 @@
 class Access:
     """The handle of one access. What the last call changed is in trips, recalls and answer."""
 
-    __slots__ = ("head", "id", "extent", "profile", "plan", "volume", "set_size", "slot", "units", "shelf",
-                 "due_ms", "abandon_ms", "seq", "size", "turn", "density", "taken", "sent", "out",
-                 "risk_ms", "over", "held", "run", "sent_ms", "overtaken", "trips", "recalls",
-                 "answer")  # fmt: skip
+    sent, out, over, held, run = 0, False, False, False, False
+    risk_ms, sent_ms, overtaken = None, 0.0, 0.0  # of the first that may have run; of the last
 
     def __lt__(self, other: Access) -> bool:
         return (self.due_ms, self.seq) < (other.due_ms, other.seq)
@@ -114,13 +112,12 @@
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.cfg, self.born = settings, now
-        self.rng = random.Random(seed)
-        self.seq = 0
+        self.rng, self.seq = random.Random(seed), 0
         self.profiles = {p.name: p for p in settings.profiles}
-        plans = settings.plans
-        self.rate_by_weight = sum(p.rate for p in plans) / max(FLOOR, sum(p.weight for p in plans))
-        self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.plans = {p.name: p for p in settings.plans}
+        weights = sum(p.weight for p in settings.plans)
+        self.rate_by_weight = sum(p.rate for p in settings.plans) / max(FLOOR, weights)
+        self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.index: dict[str, int] = {}
         self.at_slot: dict[int, int] = {}  # slot -> shelf that holds it and may be sent to
         self.extents: OrderedDict[str, Extent] = OrderedDict()
@@ -128,17 +125,19 @@
         self.lines: dict[str, list[Access]] = {}  # order by key: accesses not over, or with a trip out
         self.rest_ms: dict[str, float] = {}
         self.takes, self.further = deque(), deque()  # trip budget: when accesses and further trips were
+        self.low_ms = 0.0  # lower quartile of the latencies of all shelfs
         self.usual_worth = 0.0  # what a unit of an access earns in the mean
         self.queued = 0  # accesses held for a further trip
         self.wakes: list[tuple[float, int]] = []
         self.asked: set[tuple[float, int]] = set()  # what stands in wakes
         self.changes = Changes()
-        # Parallel arrays, one place a shelf, by its index.
-        self.names, self.ready, self.slots, self.started, self.cold_ms = [], [], [], [], []  # cold since, or None
+        # Parallel arrays, one place a shelf, by its index; cold_ms is since when, or None.
+        self.names, self.ready, self.slots, self.started, self.cold_ms = [], [], [], [], []
         self.held, self.away = [], []  # held, earliest due first; with a trip out, oldest first
         self.width, self.bound = [], []  # trips allowed: unrounded, rounded
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
         self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
+        self.seen_ms, self.all_ms = [], 0.0  # when the mean was last fed; the mean over all shelfs
         self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
         self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
 
@@ -170,12 +169,19 @@
                     self._chill(s, entry.started_ms)
                     self.dead[s] = False
             touched.append(s)
-        self.at_slot = {}
-        for s in sorted(range(len(self.names)), key=lambda s: self.started[s]):
-            if self.ready[s]:
-                self.at_slot[self.slots[s]] = s
-        for s in touched:
-            self._settle_slot(s, now)
+        newest_last = sorted(range(len(self.names)), key=self.started.__getitem__)
+        self.at_slot = {self.slots[s]: s for s in newest_last if self.ready[s]}
+        for s in touched:  # what is held for a shelf that left moves to its replacement, or is given up
+            for a in [] if self.ready[s] else list(self.held[s]):
+                heir = self.at_slot.get(a.slot, -1)
+                if heir < 0 or a.risk_ms is not None:
+                    self._give_up(a)
+                else:
+                    self.held[s].remove(a)
+                    a.shelf = heir
+                    insort(self.held[heir], a)
+            for affected in sorted({s, self.at_slot.get(self.slots[s], s)}):
+                self._serve(affected, now, None)
         return self._finish(now)
 
     def take(self, now: float, id_: int, extent: str | None, profile: str, plan: str, volume: str,
@@ -196,9 +202,7 @@
         came = abandon_ms - a.profile.patience_ms if again else now
         a.due_ms = min(came + a.profile.expected_ms, a.abandon_ms)
         self.seq += 1
-        a.seq, a.sent, a.out, a.risk_ms, a.over, a.held = self.seq, 0, False, None, False, False
-        a.run, a.sent_ms, a.overtaken = False, 0.0, 0
-        a.trips, a.recalls, a.answer = [], [], None
+        a.seq, a.trips, a.recalls, a.answer = self.seq, [], [], None
         self.takes.append(now)
         self._spare_trips(now)
         self._price(a, now)
@@ -212,7 +216,7 @@
                 e.note(now - e.answered_ms)
             e.answered_ms = None
             e.open += 1
-            if len(self.extents) > EXTENTS:
+            if len(self.extents) > REMEMBERED:
                 self.extents.popitem(last=False)
         a.shelf = self.at_slot.get(slot, -1) if slot >= 0 else self._pick_new()
         if a.shelf < 0:  # its shelf is not listed: no other holds its data
@@ -264,7 +268,7 @@
                     access = next((a for a in held if self._may_go(a, now)), None)  # earliest due
                 if access is None:
                     break
-                urgent = access.due_ms - now < 2 * self.mean_ms[s]
+                urgent = access.due_ms - now < 2 * self._mean(s, now)
                 if not urgent and done is not None and self._worth_waiting(s, access, done, now):
                     done = None
                     continue
@@ -307,9 +311,9 @@
             self.heard_ms[s] = now
         self.away[s].append(a)
         self.last_extent[s] = a.extent
-        past = math.inf if self.dead[s] else self.mean_ms[s] * a.size or math.inf
+        past = math.inf if self.dead[s] else self._mean(s, now) * a.size or math.inf
         a.trips.append(Trip(self.names[s], min(a.abandon_ms, max(a.due_ms, now) + past)))
-        self._wake(now + SILENT_MS + SILENT_LATENCIES * self.mean_ms[s], s)
+        self._wake(now + SILENT_MS + LATENCIES * self._mean(s, now), s)
         self._changed(a)
 
     def _ended(self, a: Access, now: float, outcome: Outcome, over: bool, took: float) -> None:
@@ -318,7 +322,7 @@
         self.away[s].remove(a)
         a.risk_ms = a.sent_ms if a.risk_ms is None and outcome not in NEVER_RAN else a.risk_ms
         if a.profile.in_order and a.extent is not None and outcome in MAY_STILL_RUN:
-            if len(self.rest_ms) > EXTENTS:
+            if len(self.rest_ms) > REMEMBERED:
                 self.rest_ms = {k: until for k, until in self.rest_ms.items() if until > now}
             self.rest_ms[a.extent] = now + self.cfg.order_settle_ms
         self._note_health(a, s, now, outcome, took)
@@ -369,17 +373,16 @@
         if since is None or now - since >= cfg.warm_ms:
             self.cold_ms[s] = None
             return at
-        # Rule 4: of what asks for a cold shelf, all heads let through about the part that it surely can do by
-        # now, far enough from the multiple; each draws turns by itself, and what earns more has more of them.
-        # Answers then tell more: one trip at a time at first, fewer where they take long. Harm: a suspected
-        # restart that was none, and much more asked than usual.
+        # Rule 4: of what asks for a cold shelf, all heads let through the part that it surely can do by now,
+        # far from the multiple; each draws turns by itself, and what earns more has more of them. Answers
+        # tell the rest. Harm: a suspected restart that was none, and much more asked than usual.
         turn = a.turn * self.usual_worth / max(a.density, FLOOR) / (COLD_PART * cfg.fall_multiple)
         warms = cfg.warm_ms / max(FLOOR, 1.0 - cfg.cold_share)
         return max(at, min(since + cfg.warm_ms, since + (turn - cfg.cold_share) * warms))
 
     def _go_again(self, a: Access, s: int, now: float, outcome: Outcome) -> bool:
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
-        vain = not self.ready[s] or now + self.mean_ms[s] * a.size > a.abandon_ms
+        vain = not self.ready[s] or now + self._mean(s, now) * a.size > a.abandon_ms
         vain = vain or a.sent >= self.cfg.try_limit or outcome not in GOES_AGAIN
         if vain or self._down(s, now) or not self._may_repeat(a, now, 1):
             return False
@@ -390,11 +393,10 @@
 
     def _may_repeat(self, a: Access, now: float, new: int, out: bool = False) -> bool:
         """Rules 2 and 7 for a further trip: looked at when queued (new = 1) and when it leaves."""
-        cfg = self.cfg
         risk = a.sent_ms if out and a.risk_ms is None else a.risk_ms
         if risk is not None and a.profile.repeat is not Repeat.REDOABLE:
-            labelled = a.profile.repeat is Repeat.LABELLED
-            if not labelled or now > risk + a.profile.window_ms - 2 * cfg.step_ms:
+            until = risk + a.profile.window_ms - 2 * self.cfg.step_ms
+            if a.profile.repeat is Repeat.IRREVERSIBLE or now > until:
                 return False
         return self._spare_trips(now) >= 1 + new * self.queued
 
@@ -405,9 +407,8 @@
             self.takes.popleft()
         while self.further and self.further[0] < now - cfg.budget_window_ms - 2 * cfg.step_ms:
             self.further.popleft()
-        if cfg.budget_share is None:
-            return math.inf
-        return cfg.budget_free + cfg.budget_share * len(self.takes) - len(self.further)
+        left = cfg.budget_free + (cfg.budget_share or 0.0) * len(self.takes) - len(self.further)
+        return math.inf if cfg.budget_share is None else left
 
     # ---- worth, limits and refusals
 
@@ -420,7 +421,7 @@
             st = Store()
             st.reserve = st.share = self.cfg.most_units
             st.limit, st.at_ms = 0.0, self.born
-            if len(self.stores) > VOLUMES and now - next(iter(self.stores.values())).at_ms > 60000.0:
+            if len(self.stores) > REMEMBERED and now - next(iter(self.stores.values())).at_ms > 60000.0:
                 self.stores.popitem(last=False)
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
@@ -443,7 +444,7 @@
         a.taken = (full, part)
         worth = full + self.cfg.share_worth * part + self.cfg.idle_worth * (a.units - full - part)
         a.density = a.profile.importance * a.plan.worth_factor * worth / max(a.units, FLOOR)
-        self.usual_worth += max(SETTLE, 1 / self.seq) * (a.density - self.usual_worth)
+        self.usual_worth += max(FOLLOW, 1 / self.seq) * (a.density - self.usual_worth)
 
     def _shed(self, s: int, now: float) -> None:
         """Refusal under overload. Each held access is placed at the time its turn should end; where one would
@@ -451,7 +452,8 @@
         One that can no longer be in time by itself counts with its late worth, due when the client leaves.
         Many heads share a shelf and each holds little to choose from: what earns less than usual here needs
         more room to spare, what earns more needs less. Harm: some that the shelf could have served."""
-        held, mean, bound = self.held[s], self.mean_ms[s], self.bound[s]
+        held, mean, bound = self.held[s], self._mean(s, now), self.bound[s]
+        idle = min(mean, IDLE * self.low_ms)
         down, room, i = self._down(s, now), bound - len(self.away[s]), 0
         if down and now < self.trial_ms[s]:
             for a in list(held):
@@ -460,7 +462,7 @@
         while i < len(held):
             a = held[i]
             ready = self._earliest(a, now)
-            needs = mean * a.size * (self.usual_worth / max(a.density, FLOOR)) ** TEMPER
+            needs = a.size * (idle + (mean - idle) * (self.usual_worth / max(a.density, FLOOR)) ** TEMPER)
             if ready > now and ready + needs > a.due_ms:  # at whatever cost to others
                 self._give_up(a)
                 continue
@@ -518,7 +520,7 @@
 
     def _down(self, s: int, now: float) -> bool:
         """A shelf is down when connections fail or break, or when it has trips out and answers nothing."""
-        quiet = now - self.heard_ms[s] - SILENT_MS >= SILENT_LATENCIES * self.mean_ms[s]
+        quiet = now - self.heard_ms[s] - SILENT_MS >= LATENCIES * self._mean(s, now)
         return self.dead[s] or self.lost[s] >= LOST or (quiet and bool(self.away[s]))
 
     def _note_health(self, a: Access, s: int, now: float, outcome: Outcome, took: float) -> None:
@@ -533,7 +535,8 @@
             split = self.run_ms if a.run else self.plain_ms
             split[s] += FORGET * (took - split[s]) if split[s] else took
             took /= a.size
-            self.mean_ms[s] += STEADY * (took - self.mean_ms[s]) if self.mean_ms[s] else took
+            self._learn(s, now, took)
+            self.low_ms = self.low_ms * (1 + FOLLOW * (0.25 - (took < self.low_ms))) or took
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.OVERDUE):
             self.lost[s] += 1
             # One broken connection says little: links may break here and there while the shelf is well. But a
@@ -542,14 +545,24 @@
             if broken or outcome is Outcome.UNREACHED:
                 self.dead[s], self.trial_ms[s] = True, now + TRIAL_GAP_MS
                 self._chill(s, now)
-            elif self.lost[s] > 1 and took > self.mean_ms[s]:  # a lone loss is no sign of a slow shelf
-                self.mean_ms[s] += STEADY * (took - self.mean_ms[s])
+            elif self.lost[s] > 1 and took > self._mean(s, now):  # a lone loss is no sign of a slow shelf
+                self._learn(s, now, took)
         elif outcome in (Outcome.ERRED, Outcome.FULL):
             self.heard_ms[s], self.lost[s] = now, 0
 
     def _chill(self, s: int, since: float) -> None:
         self.cold_ms[s], self.width[s], self.bound[s] = since, 1.0, 1
 
+    def _mean(self, s: int, now: float) -> float:
+        """A shelf's mean latency as far as its answers are fresh; old ones give way to what all shelfs do:
+        a head that refuses by an old answer gets no new one. Harm: a slow shelf is tried again sooner."""
+        return self.all_ms + (self.mean_ms[s] - self.all_ms) * math.exp((self.seen_ms[s] - now) / AGES_MS)
+
+    def _learn(self, s: int, now: float, took: float) -> None:
+        old = self._mean(s, now) or took
+        self.mean_ms[s], self.seen_ms[s] = old + STEADY * (took - old), now
+        self.all_ms += FOLLOW * (took - self.all_ms) if self.all_ms else took
+
     def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
         """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
         so it is recalled and goes again. Harm: long work may be done twice; its units are allowed for."""
@@ -557,8 +570,8 @@
             if a.sent_ms >= answered.sent_ms:
                 break
             a.overtaken += 1
-            usual = self.mean_ms[s] * max(1.0, a.size)
-            lost = a.overtaken >= OVERTAKEN and now - a.sent_ms >= LOST_LATENCIES * usual
+            usual = self._mean(s, now) * max(1.0, a.size)
+            lost = a.overtaken >= OVERTAKEN and now - a.sent_ms >= LATENCIES * usual
             useful = not a.over and now + usual <= a.due_ms and a.sent < self.cfg.try_limit
             if lost and useful and self.cfg.may_recall and self._may_repeat(a, now, 1, True):
                 self._recall(a)
@@ -577,27 +590,12 @@
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
             (self.cold_ms, None), (self.held, []), (self.away, []),
             (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
-            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.heard_ms, now),
-            (self.lost, 0), (self.dead, False), (self.trial_ms, now),
+            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.seen_ms, -math.inf),
+            (self.heard_ms, now), (self.lost, 0), (self.dead, False), (self.trial_ms, now),
         ):  # fmt: skip
             column.append(value)
         return s
 
-    def _settle_slot(self, s: int, now: float) -> None:
-        """After a list: what is held for a shelf that left moves to its replacement, or is given up."""
-        if not self.ready[s] and self.held[s]:
-            for a in list(self.held[s]):
-                heir = self.at_slot.get(a.slot, -1)
-                if heir < 0 or a.risk_ms is not None:
-                    self._give_up(a)
-                else:
-                    self.held[s].remove(a)
-                    a.shelf = heir
-                    insort(self.held[heir], a)
-            if self.slots[s] in self.at_slot:
-                self._serve(self.at_slot[self.slots[s]], now, None)
-        self._serve(s, now, None)
-
     def _pick_new(self) -> int:
         """A new object: two shelfs drawn at random, the one that this head's own counts favour."""
         ready = sorted(self.at_slot.values())
