A trip is waited for until its due time or its expected end, whichever is later

Cause: trips were kept one mean latency past their due time for late worth, while their place in the shelf's queue delayed what could still be in time; a shelf does not begin what is given up. Harm: fewer late answers where late worth is high.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -312,7 +312,7 @@
         self.away[s].append(a)
         self.last_extent[s] = a.extent
         past = math.inf if self.dead[s] else self._mean(s, now) * a.size or math.inf
-        a.trips.append(Trip(self.names[s], min(a.abandon_ms, max(a.due_ms, now) + past)))
+        a.trips.append(Trip(self.names[s], min(a.abandon_ms, max(a.due_ms, now + past))))
         self._wake(now + SILENT_MS + LATENCIES * self._mean(s, now), s)
         self._changed(a)
 
