--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -166,7 +166,7 @@
             if entry.started_ms > self.started[s]:
                 self.started[s] = entry.started_ms
                 if now - entry.started_ms < self.cfg.warm_ms:
-                    self._chill(s, entry.started_ms)
+                    self._chill(s, min(entry.started_ms, now))
                     self.dead[s] = False
             touched.append(s)
         newest_last = sorted(range(len(self.names)), key=self.started.__getitem__)
@@ -192,7 +192,7 @@
         a.head, a.id, a.extent, a.volume, a.slot, a.units = self, id_, extent, volume, slot, units
         a.set_size = max(1, set_size)
         a.turn = self.rng.random()
-        a.size = (1.0 + units / self.cfg.mean_units) / 2  # half of a latency goes by size, half is waiting
+        a.size = (1.0 + units / (self.cfg.mean_units or units or 1.0)) / 2  # half goes by size
         a.profile, a.plan = self.profiles[profile], self.plans[plan]
         a.abandon_ms = abandon_ms - 2 * self.cfg.step_ms
         # A client's clock runs on over its tries: one with less patience left than its profile's has waited
@@ -376,7 +376,7 @@
         # Rule 4: of what asks for a cold shelf, all heads let through the part that it surely can do by now,
         # far from the multiple; each draws turns by itself, and what earns more has more of them. Answers
         # tell the rest. Harm: a suspected restart that was none, and much more asked than usual.
-        turn = a.turn * self.usual_worth / max(a.density, FLOOR) / (COLD_PART * cfg.fall_multiple)
+        turn = a.turn * self.usual_worth / max(a.density, FLOOR) / max(FLOOR, COLD_PART * cfg.fall_multiple)
         warms = cfg.warm_ms / max(FLOOR, 1.0 - cfg.cold_share)
         return max(at, min(since + cfg.warm_ms, since + (turn - cfg.cold_share) * warms))
 
@@ -604,7 +604,8 @@
         return min(pair, key=count, default=-1)
 
     def _wake(self, at: float, s: int) -> None:
-        wake = (math.ceil(at / self.cfg.step_ms) * self.cfg.step_ms, s)
+        step = self.cfg.step_ms or 1.0
+        wake = (math.ceil(at / step) * step, s)
         if wake not in self.asked:
             self.asked.add(wake)
             heapq.heappush(self.wakes, wake)
--- a/pebblehinge/interface.py
+++ b/pebblehinge/interface.py
@@ -107,14 +107,12 @@
 class Settings:
     """What an instance is told at its start."""
 
-    heads: int
     profiles: tuple[Profile, ...]
     plans: tuple[Plan, ...]
     mean_units: float
     most_units: float
     share_worth: float
     idle_worth: float
-    young_limit: float
     asks_for_list: bool
     marks_repeats: bool
     may_recall: bool
--- a/pebblehinge/wirehost/codec.py
+++ b/pebblehinge/wirehost/codec.py
@@ -279,14 +279,12 @@
         for row in env.rows("service_levels")
     )
     return Settings(
-        heads=env.get("instances", int),
         profiles=profiles,
         plans=plans,
         mean_units=info.get("mean_units", float),
         most_units=info.get("most_units", float),
         share_worth=info.get("within_share", float),
         idle_worth=info.get("idle_worth", float),
-        young_limit=info.get("young_limit", float),
         asks_for_list=env.word("membership_mode", {"push": False, "ask": True}),
         marks_repeats=habits.get("marks_retry", bool, False),
         may_recall=caps.get("cancel", bool),
