--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,6 +1,7 @@
 """Plays the scenarios of tests/scenarios against the decision module.
 
-A scenario is a text file. `name: title` starts a case; `set key=value ...` alters the settings of the case.
+A scenario is a text file. `name: title` starts a case; `set key=value ...` alters the settings of the case;
+`as TITLE until TIME` begins it like an earlier case of the file, up to a time.
 Then each line is a time in milliseconds, a verb and its values:
 
     0 list A:0 B:1:draining C:2::-500   the whole list: shelf:slot[:standing[:started]]
@@ -147,12 +148,18 @@
 
 
 def cases() -> list:
-    found = []
+    found: list[tuple[str, list[tuple[int, str]]]] = []
     for path in sorted(FOLDER.glob("*.txt")):
         for number, text in enumerate(path.read_text().splitlines(), 1):
             line = text.split("#")[0].strip()
             if line.startswith("name:"):
                 found.append((f"{path.stem}: {line[5:].strip()}", []))
+            elif line.startswith("as "):
+                title, until = line[3:].split(" until ")
+                start = dict(found)[f"{path.stem}: {title}"]
+                later = [n for n, (_, text) in enumerate(start) if text[0].isdigit() and
+                         float(text.split()[0]) >= float(until)]  # fmt: skip
+                found[-1][1].extend(start[: later[0]])
             elif line:
                 found[-1][1].append((number, line))
     return [pytest.param(lines, id=title) for title, lines in found]
