--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -80,7 +80,7 @@
     """The handle of one access. What the last call changed is in trips, recalls and answer."""
 
     sent, out, over, held, run = 0, False, False, False, False
-    risk_ms, sent_ms, overtaken = None, 0.0, 0.0  # of the first that may have run; of the last
+    risk_ms, sent_ms, overtaken = None, 0.0, 0.0  # when the first that may have run left, when the last
 
     def __lt__(self, other: Access) -> bool:
         return (self.due_ms, self.seq) < (other.due_ms, other.seq)
@@ -551,6 +551,7 @@
             self.heard_ms[s], self.lost[s] = now, 0
 
     def _chill(self, s: int, since: float) -> None:
+        """A shelf is cold from now on, and gets one trip at a time until its answers widen the bound."""
         self.cold_ms[s], self.width[s], self.bound[s] = since, 1.0, 1
 
     def _mean(self, s: int, now: float) -> float:
@@ -599,9 +600,10 @@
     def _pick_new(self) -> int:
         """A new object: two shelfs drawn at random, the one that this head's own counts favour."""
         ready = sorted(self.at_slot.values())
+        if not ready:
+            return -1
         pair = self.rng.sample(ready, min(2, len(ready)))
-        count = lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s])  # noqa: E731
-        return min(pair, key=count, default=-1)
+        return min(pair, key=lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s]))
 
     def _wake(self, at: float, s: int) -> None:
         step = self.cfg.step_ms or 1.0
