--- a/pebblehinge/__init__.py
+++ b/pebblehinge/__init__.py
@@ -1,1 +1,3 @@
-"""pebblehinge: an anticipatory scheduler of accesses before shared storage shelfs."""
+"""pebblehinge: a storage gateway that schedules a host's reads and writes over storage nodes."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/pebblehinge/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m pebblehinge`."""
+
+from pebblehinge.cli import main
+
+main()
--- /dev/null
+++ b/pebblehinge/cli.py
@@ -0,0 +1,403 @@
+"""The command line. Exit status: 0 kept, 1 a rule or goal was missed, 2 wrong use, settings or surroundings."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import structlog
+import uvloop
+
+from pebblehinge import __version__
+from pebblehinge.records import NoRecords, Records, RecordsError
+from pebblehinge.settings import Config, SettingsError, load, show
+from pebblehinge.settings.schema import LogBlock
+
+BUILT_IN = Path(__file__).parent / "lab" / "days"
+
+
+def give_up(reason: str) -> NoReturn:
+    """One plain line, exit 2."""
+    click.echo(f"pebblehinge: {reason}", err=True)
+    sys.exit(2)
+
+
+def read_settings(file: str, loopback: str | None = None) -> Config:
+    try:
+        return load(file, loopback)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(str(problem), err=True)
+        count = len(error.problems)
+        give_up(f"{file}: {count} fault{'s' if count > 1 else ''}")
+
+
+def logger(block: LogBlock, **context: Any) -> Any:
+    """structlog on standard error, as JSON or for a console."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer()
+            if block.form == "json"
+            else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, block.level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    return structlog.get_logger().bind(**context)
+
+
+def clock_of(loop: asyncio.AbstractEventLoop) -> Callable[[], float]:
+    """Milliseconds of the monotonic clock, which no change of the wall clock moves. The loop's own time has the
+    same origin but stands still within a turn, and is too coarse for latencies."""
+    monotonic = time.monotonic
+    return lambda: monotonic() * 1000.0
+
+
+def run(main: Callable[[asyncio.AbstractEventLoop], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Runs a process on uvloop; faults of its surroundings end it with one line and exit 2."""
+    loop = uvloop.new_event_loop()
+    try:
+        asyncio.set_event_loop(loop)
+        code = loop.run_until_complete(main(loop))
+    except (RecordsError, OSError) as error:
+        give_up(describe(error))
+    except KeyboardInterrupt:
+        code = 130
+    sys.stdout.flush()
+    sys.exit(code)
+
+
+def describe(error: Exception) -> str:
+    if isinstance(error, OSError):
+        return f"{error.strerror or error}{f': {error.filename}' if error.filename else ''}"
+    return str(error)
+
+
+def records_for(
+    folder: str | None, name: str, loop: asyncio.AbstractEventLoop, failed: Callable[[RecordsError], None] | None = None
+) -> Records | NoRecords:
+    return Records(folder, name, loop.call_soon, failed) if folder else NoRecords()
+
+
+def ready() -> None:
+    """The line that a supervisor or the lab waits for."""
+    click.echo("ready")
+    sys.stdout.flush()
+
+
+def until_told(loop: asyncio.AbstractEventLoop, stop: Callable[[str], None]) -> None:
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, stop, sig.name)
+
+
+FILE = click.argument("file", type=click.Path(dir_okay=False))
+LOOPBACK = click.option("--loopback", help="Host of a fleet block's addresses, in place of the file's.")
+RECORDS = click.option("--records", type=click.Path(file_okay=False), help="Folder for records of the sockets.")
+SEED = click.option("--seed", type=click.IntRange(0), default=0, show_default=True, help="Start of all chance.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A storage gateway: schedules a host's reads and writes over storage nodes."""
+
+
+@main.command()
+def version() -> None:
+    """Print the program's version."""
+    click.echo(f"pebblehinge {__version__}")
+
+
+@main.command()
+@FILE
+@click.option("--show", "show_it", is_flag=True, help="Print what is in force, defaults marked.")
+def check(file: str, show_it: bool) -> None:
+    """Check a settings file; all faults are told at once."""
+    config = read_settings(file)
+    if show_it:
+        click.echo("\n".join(show(config)))
+    else:
+        click.echo(f"{file}: sound")
+
+
+def pick(config: Config, what: str, name: str | None) -> str:
+    known = getattr(config, what)
+    if name is None and len(known) == 1:
+        return next(iter(known))
+    if name not in known:
+        has = ", ".join(known) or "none"
+        give_up(f"{what} {name!r} is not in the settings: they have {has}" if name else f"name one {what} of {has}")
+    return name
+
+
+@main.command()
+@FILE
+@click.option("--name", help="Which head block of the file; not needed where it has one.")
+@LOOPBACK
+@RECORDS
+@click.option("--seed", type=click.IntRange(0), help="In place of the block's seed.")
+def head(file: str, name: str | None, loopback: str | None, records: str | None, seed: int | None) -> None:
+    """Run a head. SIGTERM: nothing new, every accepted access its answer, then exit 0. SIGHUP: settings again."""
+    config = read_settings(file, loopback)
+    name = pick(config, "head", name)
+    if seed is not None:
+        config.head[name].seed = seed
+    log = logger(config.log, head=name)
+    run(lambda loop: _head(loop, config, file, name, loopback, records or config.records, log))
+
+
+async def _head(
+    loop: asyncio.AbstractEventLoop, config: Config, file: str, name: str, loopback: str | None, folder: str | None,
+    log: Any,
+) -> int:  # fmt: skip
+    from pebblehinge.head import HeadServer
+    from pebblehinge.head.metrics import serve_metrics
+
+    failed: list[str] = []
+
+    def records_failed(error: RecordsError) -> None:
+        failed.append(str(error))
+        server.stop("its records can't be written")
+
+    def reload() -> None:
+        try:
+            new = load(file, loopback)
+            if name not in new.head:
+                raise KeyError(f"no head {name!r} in it")
+        except (SettingsError, KeyError) as error:
+            log.error("settings stay as they were", fault=str(error).splitlines())
+            return
+        server.adopt(new)
+        log.info("settings taken up", file=file)
+
+    notes = records_for(folder, f"head-{name}", loop, records_failed)
+    server = HeadServer(loop, clock_of(loop), config, name, log, notes)
+    try:
+        await server.start()
+        if server.block.metrics:
+            serve_metrics(server, server.block.metrics)
+    except OSError as error:
+        give_up(f"head {name}: {server.block.listen}: {describe(error)}")
+    until_told(loop, server.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    gc.freeze()  # what stands now stays: the collector need not look at it again
+    ready()
+    log.info("serving", listen=server.block.listen, metrics=server.block.metrics, version=__version__)
+    await server.stopped
+    await asyncio.sleep(0.02)
+    if failed:
+        click.echo(f"pebblehinge: {failed[0]}", err=True)
+        return 2
+    log.info("stopped", answers=server.core.counts)
+    return 0
+
+
+@main.command()
+@FILE
+@click.option("--name", help="Which shelf block of the file.")
+@LOOPBACK
+@RECORDS
+@SEED
+@click.option("--store", type=click.Path(file_okay=False), help="Folder for contents and the journal of effects.")
+@click.option("--cold", is_flag=True, help="It comes back from a crash.")
+@click.option("--release", type=click.IntRange(1, 40), help="It replaces the named shelf, under a further name.")
+def shelf(
+    file: str, name: str | None, loopback: str | None, records: str | None, seed: int, store: str | None, cold: bool,
+    release: int | None,
+) -> None:  # fmt: skip
+    """Run a stand-in shelf."""
+    config = read_settings(file, loopback)
+    name = pick(config, "shelf", name)
+    if release is not None:
+        from pebblehinge.lab.fleet import released
+
+        name = released(config, name, release)
+    log = logger(config.log, shelf=name)
+    run(lambda loop: _shelf(loop, config, name, records, seed, store, cold, log))
+
+
+async def _shelf(
+    loop: asyncio.AbstractEventLoop, config: Config, name: str, folder: str | None, seed: int, store: str | None,
+    cold: bool, log: Any,
+) -> int:  # fmt: skip
+    from pebblehinge.shelf import Contents, ShelfServer
+    from pebblehinge.shelf.contents import JournalError
+
+    try:
+        contents = Contents(Path(store) / f"slot-{config.shelf[name].slot}" if store else None)
+    except JournalError as error:
+        give_up(str(error))
+    notes = records_for(folder, f"shelf-{name}", loop)
+    server = ShelfServer(loop, clock_of(loop), config, name, log, notes, contents, not cold, seed)
+    try:
+        await server.start()
+    except OSError as error:
+        give_up(f"shelf {name}: {server.block.listen}: {describe(error)}")
+    stopped = loop.create_future()
+    until_told(loop, lambda why: stopped.done() or stopped.set_result(why))
+    ready()
+    await stopped
+    server.stop()
+    await asyncio.sleep(0.02)
+    return 0
+
+
+@main.command()
+@FILE
+@LOOPBACK
+@RECORDS
+@SEED
+def listing(file: str, loopback: str | None, records: str | None, seed: int) -> None:
+    """Run the stand-in node list."""
+    config = read_settings(file, loopback)
+    log = logger(config.log, listing=config.listing.listen)
+    run(lambda loop: _listing(loop, config, records, seed, log))
+
+
+async def _listing(loop: asyncio.AbstractEventLoop, config: Config, folder: str | None, seed: int, log: Any) -> int:
+    from pebblehinge.listing import ListingServer
+
+    server = ListingServer(loop, clock_of(loop), config, log, records_for(folder, "listing", loop), seed)
+    try:
+        await server.start()
+    except OSError as error:
+        give_up(f"listing: {config.listing.listen}: {describe(error)}")
+    stopped = loop.create_future()
+    until_told(loop, lambda why: stopped.done() or stopped.set_result(why))
+    ready()
+    await stopped
+    server.stop()
+    await asyncio.sleep(0.02)
+    return 0
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: scripted days, load, and the checker of the rules."""
+
+
+def find_day(name: str) -> tuple[Path, str | None]:
+    """A day's file by path or by the name of one that ships."""
+    path = Path(name)
+    if path.is_file():
+        return path, None
+    built_in = BUILT_IN / f"{name}.conf"
+    if built_in.is_file():
+        return built_in, name
+    known = ", ".join(sorted(p.stem for p in BUILT_IN.glob("*.conf") if not p.stem.startswith("_")))
+    give_up(f"no day {name!r}: expected a file, or one of {known}")
+
+
+@lab.command()
+@click.argument("name", default="bad-day")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Start of all chance.")
+@click.option("--json", "as_json", is_flag=True, help="Print one object.")
+@click.option("--records", type=click.Path(file_okay=False), help="Keep the records in this folder.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def day(name: str, seed: int, as_json: bool, records: str | None, quiet: bool) -> None:
+    """Play a day, NAME or FILE, with a fleet of processes, and judge the rules from what crossed the sockets."""
+    from pebblehinge.lab.check import Day
+    from pebblehinge.lab.days import DayError
+    from pebblehinge.lab.stage import Stage, own_loopback
+    from pebblehinge.lab.verdict import kept, lines, summary
+
+    path, _ = find_day(name)
+    loopback = own_loopback()
+    config = read_settings(str(path), loopback)
+    day_name = pick(config, "day", None)
+    if records is not None and any(Path(records).glob("*.jsonl")):
+        give_up(f"{records} holds records of another day already")
+    began = time.monotonic()
+
+    def said(line: str) -> None:
+        if not quiet:
+            click.echo(f"[{time.monotonic() - began:5.1f} s] {line}", err=True)
+
+    async def play(loop: asyncio.AbstractEventLoop, folder: Path) -> dict[str, Any]:
+        stage = Stage(loop, config, path, day_name, seed, folder, loopback, said)
+        try:
+            return await stage.play()
+        finally:
+            stage.abandon()
+
+    with tempfile.TemporaryDirectory(prefix="pebblehinge-") as temporary:
+        folder = Path(records or temporary)
+        try:
+            with asyncio.Runner() as runner:
+                more = runner.run(play(runner.get_loop(), folder))
+            facts = Day.read(folder, config)
+        except (DayError, RecordsError, OSError) as error:
+            give_up(describe(error))
+        told = summary(facts, day_name, seed, {"faults": more["faults"], "load_late_ms": round(more["late_ms"], 1)})
+    goal = config.day[day_name].goal
+    missed = told["service"] < goal
+    click.echo(json.dumps(told) if as_json else "\n".join(lines(told)))
+    if missed and not as_json:
+        click.echo(f"service {told['service']:.3f} is under the day's goal of {goal:g}")
+    sys.exit(0 if kept(told) and not missed and not told["faults"] else 1)
+
+
+@lab.command(name="load")
+@FILE
+@click.option("--day", "day_name", required=True, help="Which day block.")
+@click.option("--part", type=click.IntRange(0), default=0, help="Which of the processes this is.")
+@click.option("--parts", type=click.IntRange(1), default=1, help="How many there are.")
+@click.option("--start", type=float, help="When to begin, on the machine's monotonic clock in ms; else in a second.")
+@LOOPBACK
+@RECORDS
+@SEED
+def load_command(
+    file: str, day_name: str, part: int, parts: int, start: float | None, loopback: str | None, records: str | None,
+    seed: int,
+) -> None:  # fmt: skip
+    """Ask as a day's clients do; prints what became of the accesses."""
+    from pebblehinge.lab.clients import Crowd
+
+    config = read_settings(file, loopback)
+    pick(config, "day", day_name)
+
+    async def ask(loop: asyncio.AbstractEventLoop) -> int:
+        clock = clock_of(loop)
+        notes = records_for(records, f"load{part + 1}", loop)
+        crowd = Crowd(loop, clock, config, day_name, seed, notes, part, parts)
+        await crowd.connect_all()
+        ready()
+        crowd.start(start if start is not None else clock() + 1000.0)
+        await crowd.ended
+        await crowd.close()
+        click.echo(json.dumps({"ends": crowd.done, "late_ms": round(crowd.late_ms, 3)}))
+        return 0
+
+    run(ask)
+
+
+@lab.command(name="check")
+@click.argument("records", type=click.Path(file_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="Print one object.")
+def check_records(records: str, as_json: bool) -> None:
+    """Judge the rules again from a day's RECORDS."""
+    from pebblehinge.lab.check import Day
+    from pebblehinge.lab.verdict import kept, lines, summary
+
+    folder = Path(records)
+    if not (folder / "day.conf").is_file():
+        give_up(f"{records} holds no day.conf: expected the records of a day")
+    config = read_settings(str(folder / "day.conf"))
+    try:
+        facts = Day.read(folder, config)
+    except RecordsError as error:
+        give_up(str(error))
+    told = summary(facts, next(iter(config.day)), 0)
+    click.echo(json.dumps(told) if as_json else "\n".join(lines(told)))
+    sys.exit(0 if kept(told) else 1)
--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -5,6 +5,7 @@
 outcome), begun (its stream has started), left (the client is gone). head.listed feeds a list of shelfs,
 head.woken says that a time asked for has come. Each returns Changes: the handles that changed, in order,
 with their new trips, recalls and final answer, then the next wake and the calls to the list.
+head.adopt takes new settings in service: what is held goes on under the new figures.
 Times are milliseconds on the caller's clock; nothing here reads another.
 """
 
@@ -16,8 +17,20 @@
 from bisect import insort
 from collections import OrderedDict, deque
 
-from pebblehinge.interface import Answer, Changes, Entry, Final, Group, ListCall, ListKind, Outcome
-from pebblehinge.interface import Repeat, Settings, Standing, Trip
+from pebblehinge.interface import (
+    Answer,
+    Changes,
+    Entry,
+    Final,
+    Group,
+    ListCall,
+    ListKind,
+    Outcome,
+    Repeat,
+    Settings,
+    Standing,
+    Trip,
+)
 
 BOUND = 4  # trips out per shelf and head (design: to start)
 CROWDED = 0.4  # a trip that takes longer than this part of the shortest expected time narrows the bound
@@ -184,6 +197,23 @@
                 self._serve(affected, now, None)
         return self._finish(now)
 
+    def adopt(self, now: float, settings: Settings) -> Changes:
+        """New settings while accesses are held. What a limit's store filled since its last look is not
+        counted: it would be at a rate not yet in force. Harm: a plan that is gone holds to its end."""
+        self.cfg = settings
+        self.profiles = {p.name: p for p in settings.profiles}
+        self.plans = {p.name: p for p in settings.plans}
+        weights = sum(p.weight for p in settings.plans)
+        self.rate_by_weight = sum(p.rate for p in settings.plans) / max(FLOOR, weights)
+        self.shortest_ms = min(p.expected_ms for p in settings.profiles)
+        for st in self.stores.values():
+            st.at_ms = now
+        for a in [a for s in range(len(self.names)) for a in self.held[s]]:
+            a.plan = self.plans.get(a.plan.name, a.plan)
+        for s in range(len(self.names)):
+            self._serve(s, now, None)
+        return self._finish(now)
+
     def take(self, now: float, id_: int, extent: str | None, profile: str, plan: str, volume: str,
              set_size: int, slot: int, units: float, abandon_ms: float,
              repeat: bool | None = None) -> tuple[Access, Changes]:
--- /dev/null
+++ b/pebblehinge/head/server.py
@@ -0,0 +1,255 @@
+"""The sockets of a running head: its clients, its links to shelfs and list, its timer, its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from pebblehinge.head.core import HONOURED, Core, Taken
+from pebblehinge.head.link import ShelfLink
+from pebblehinge.head.listing import ListingLink
+from pebblehinge.interface import Entry, ListCall, ListKind
+from pebblehinge.net import Peer, parse_address
+from pebblehinge.records import NoRecords, Records
+from pebblehinge.settings.schema import Config, HeadBlock
+from pebblehinge.wire import Kind, Session, WireError
+
+STOP_TOKEN = 1
+FINAL_WORDS = ("honoured", "pushed back", "terminated")
+
+
+class ClientConn(Peer):
+    """One client's connection, with the accesses it has open."""
+
+    FRAMES = frozenset({Kind.TAKE, Kind.CANCEL})
+
+    def __init__(self, server: HeadServer) -> None:
+        limits = server.config.limits
+        session = Session("head", server.name, limits.frame, limits.streams, greets=False)
+        super().__init__(server.loop, session, limits.stall, limits.keepalive)
+        self.server = server
+        self.open: dict[int, Taken | None] = {}
+        self.settled = False  # has heard of the stop, and all that it sent before has come
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self.server.conns[self] = None
+        if len(self.server.conns) > self.server.config.limits.connections:
+            self.fail(f"{self.server.config.limits.connections} connections are open here already")
+
+    def batch(self) -> None:
+        self.server.now = self.server.clock()  # one reading for all that came together
+
+    def ready(self) -> None:
+        if self.server.core.stopping:
+            self.tell_stopping()
+
+    def tell_stopping(self) -> None:
+        """What the client sent before it heard of the stop is on its way yet: closing now would lose it. It
+        answers the ping after the last of them, and sends nothing more."""
+        self.send(Kind.STOPPING, "this head is stopping")
+        self.send(Kind.PING, STOP_TOKEN)
+
+    def on_pong(self, token: int) -> None:
+        if token == STOP_TOKEN and self.server.core.stopping:
+            self.settled = True
+            self.server.stop_if_done()
+
+    def gone(self, exc: Exception | None) -> None:
+        self.server.gone(self)
+
+    def fail(self, reason: str) -> None:
+        if not self.failed:
+            self.server.log.warning("client cut", peer=self.session.peer_name, reason=reason)
+            self.server.faults += 1
+        super().fail(reason)
+
+    def on_take(
+        self, id_: int, trace: str, volume: str, plan: str | None, profile: str, extent: str, *rest: Any
+    ) -> None:
+        if id_ in self.open:
+            raise WireError(f"TAKE: id {id_} is open already")
+        if len(self.open) >= self.session.streams:
+            raise WireError(f"TAKE: more than {self.session.streams} accesses open on one connection")
+        if len(trace) > 200 or len(extent) > 500 or not extent:
+            raise WireError("TAKE: an id of at most 200 and an extent of 1 to 500 characters are taken")
+        server = self.server
+        self.open[id_] = None  # until the module has it: its answer may come within the call
+        server.note(server.now, "take", id=trace, client=self.session.peer_name)
+        taken = server.core.take(server.now, self, id_, trace, volume, plan, profile, extent, *rest)
+        if taken is not None and not taken.answered:
+            self.open[id_] = taken
+
+    def on_cancel(self, id_: int) -> None:
+        taken = self.open.pop(id_, None)
+        if taken is not None:  # an answer that crossed it on the way stands
+            self.server.core.left(self.server.now, taken)
+
+
+class HeadServer:
+    """A running head. Loop, clock (milliseconds) and records are handed in; nothing here reads others."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        config: Config,
+        name: str,
+        log: Any,
+        records: Records | NoRecords | None = None,
+        core: type[Core] = Core,
+    ) -> None:
+        self.loop, self.clock, self.config, self.name, self.log = loop, clock, config, name, log
+        self.block: HeadBlock = config.head[name]
+        self.records = records or NoRecords()
+        self.note = self.records.note if self.records.on else _nothing
+        self.conns: dict[ClientConn, None] = {}  # in the order in which they came
+        self.links: dict[str, ShelfLink] = {}
+        self.retired: list[ShelfLink] = []
+        self.now = clock()
+        self.core = core(config, self.block, self.now, self)
+        self.timer: asyncio.TimerHandle | None = None
+        self.wake_ms = float("inf")
+        self.server: Any = None
+        self.latency = HdrHistogram(1, 60_000_000, 3)  # microseconds, of honoured accesses
+        self.faults = 0
+        self.stopped: asyncio.Future[None] = loop.create_future()
+        self.listing = ListingLink(
+            loop, clock, name, config.listing.listen, config.limits, random.Random(self.block.seed), self._listed,
+            config.listing.mode == "ask",
+        )  # fmt: skip
+
+    async def start(self) -> None:
+        host, port = parse_address(self.block.listen)
+        self.server = await self.loop.create_server(lambda: ClientConn(self), host, port, backlog=4096)
+        self.listing.start()
+        self.core.start(self.clock())
+        self.note(self.clock(), "up", role="head", name=self.name)
+
+    # ---- stopping
+
+    def stop(self, why: str) -> None:
+        """Takes nothing new, gives every accepted access its answer within its own time, then is stopped."""
+        if self.core.stopping:
+            return
+        self.core.stopping = True
+        self.log.info("stopping", why=why, open=self.core.open)
+        self.server.close()
+        for conn in list(self.conns):
+            conn.tell_stopping()
+        self.loop.call_later(self.config.limits.stall / 1000.0, self._settle_all)
+        self.stop_if_done()
+
+    def _settle_all(self) -> None:
+        """A client that never answers does not hold up the stop for ever."""
+        for conn in self.conns:
+            conn.settled = True
+        self.stop_if_done()
+
+    def stop_if_done(self) -> None:
+        if not self.core.stopping or self.core.open:
+            return
+        if self.conns:
+            for conn in list(self.conns):
+                if conn.settled:
+                    conn.close()
+            return
+        if not self.stopped.done():
+            self.note(self.clock(), "down", name=self.name)
+            self.listing.close()
+            for link in [*self.links.values(), *self.retired]:
+                link.close()
+            if self.timer is not None:
+                self.timer.cancel()
+            self.records.close()
+            self.stopped.set_result(None)
+
+    def gone(self, conn: ClientConn) -> None:
+        self.conns.pop(conn, None)
+        now = self.clock()
+        for taken in list(conn.open.values()):
+            if taken is not None:
+                self.core.left(now, taken)
+        conn.open.clear()
+        self.stop_if_done()
+
+    # ---- what the core has done
+
+    def answer(self, taken: Taken, final: int, stay_ms: float, reason: str, data: bytes) -> None:
+        conn: ClientConn = taken.conn
+        conn.open.pop(taken.id, None)
+        conn.send(Kind.ANSWER, taken.id, final, stay_ms, reason, taken.slot, data)
+        now = self.now
+        if final == HONOURED:
+            self.latency.record_value(max(1, int((now - taken.came_ms) * 1000.0)))
+        self.note(now, "answer", id=taken.trace, final=FINAL_WORDS[final], stay=stay_ms)
+        if self.config.log.accesses:
+            took = round(now - taken.came_ms, 3)
+            self.log.info("answer", id=taken.trace, final=FINAL_WORDS[final], ms=took, reason=reason)
+        if self.core.stopping and not self.core.open:
+            self.loop.call_soon(self.stop_if_done)
+
+    def send_trip(self, taken: Taken, shelf: str, trip: int, until_ms: float) -> None:
+        link = self.links[shelf]
+        if self.config.log.accesses:
+            self.log.info("trip", id=taken.trace, n=trip, shelf=shelf)
+        link.send(taken, trip, until_ms, self.now)
+
+    def drop_trip(self, taken: Taken) -> None:
+        taken.trip.link.drop(taken)
+
+    def wake_at(self, at_ms: float) -> None:
+        if at_ms < self.wake_ms:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.wake_ms = at_ms
+            # The loop rounds to its grid: half a millisecond more, or it would call just before the time.
+            self.timer = self.loop.call_at(at_ms / 1000.0 + 0.0005, self._woken)
+
+    def _woken(self) -> None:
+        self.timer, self.wake_ms = None, float("inf")
+        self.now = self.clock()
+        self.core.woken(self.now)
+
+    def call_list(self, call: ListCall) -> None:
+        self.listing.call(call)
+
+    def probe(self, shelf: str) -> None:
+        self.links[shelf].probe()
+
+    # ---- from shelfs and list
+
+    def _ended(self, now: float, *rest: Any) -> None:
+        self.now = now
+        self.core.ended(now, *rest)
+
+    def _listed(self, now: float, kind: ListKind, entries: list[Entry], addresses: dict[str, str]) -> None:
+        self.now = now
+        for shelf, address in addresses.items():
+            link = self.links.get(shelf)
+            if link is None or link.address != address:
+                if link is not None:
+                    self.retired = [r for r in self.retired if r.out or r.waiting]
+                    self.retired.append(link)
+                    link.retire()
+                self.links[shelf] = ShelfLink(
+                    self.loop, self.clock, self.name, shelf, address, self.config.limits, self._ended,
+                    self.note if self.records.on else None,
+                )  # fmt: skip
+        self.note(now, "listed", kind=kind.value, entries=[(e.shelf, e.standing.value) for e in entries])
+        self.log.debug("listed", kind=kind.value, shelfs=len(entries))
+        self.core.listed(now, kind, entries)
+
+    def adopt(self, config: Config) -> None:
+        """New settings from the same file; addresses stay as they were until a restart."""
+        self.config = config
+        self.now = self.clock()
+        self.core.adopt(self.now, config)
+
+
+def _nothing(*_: Any, **__: Any) -> None:
+    pass
