--- a/pebblehinge/cli.py
+++ b/pebblehinge/cli.py
@@ -305,15 +305,17 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one object.")
 @click.option("--records", type=click.Path(file_okay=False), help="Keep the records in this folder.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def day(name: str, seed: int, as_json: bool, records: str | None, quiet: bool) -> None:
+@click.option("--virtual", is_flag=True, help="In one process and in virtual time, instead of processes on sockets.")
+def day(name: str, seed: int, as_json: bool, records: str | None, quiet: bool, virtual: bool) -> None:
     """Play a day, NAME or FILE, with a fleet of processes, and judge the rules from what crossed the sockets."""
+    from pebblehinge.lab import village
     from pebblehinge.lab.check import Day
     from pebblehinge.lab.days import DayError
-    from pebblehinge.lab.stage import Stage, own_loopback
+    from pebblehinge.lab.processes import Processes, own_loopback
     from pebblehinge.lab.verdict import kept, lines, summary
 
     path, _ = find_day(name)
-    loopback = own_loopback()
+    loopback = "127.0.0.1" if virtual else own_loopback()
     config = read_settings(str(path), loopback)
     day_name = pick(config, "day", None)
     if records is not None and any(Path(records).glob("*.jsonl")):
@@ -325,7 +327,7 @@
             click.echo(f"[{time.monotonic() - began:5.1f} s] {line}", err=True)
 
     async def play(loop: asyncio.AbstractEventLoop, folder: Path) -> dict[str, Any]:
-        stage = Stage(loop, config, path, day_name, seed, folder, loopback, said)
+        stage = Processes(loop, config, path, day_name, seed, folder, loopback, said)
         try:
             return await stage.play()
         finally:
@@ -334,9 +336,15 @@
     with tempfile.TemporaryDirectory(prefix="pebblehinge-") as temporary:
         folder = Path(records or temporary)
         try:
-            with asyncio.Runner() as runner:
-                more = runner.run(play(runner.get_loop(), folder))
-            facts = Day.read(folder, config)
+            if virtual:
+                stage, more = village.play(config, day_name, seed, said)
+                if records is not None:
+                    stage.write(folder)
+                facts = stage.facts()
+            else:
+                with asyncio.Runner() as runner:
+                    more = runner.run(play(runner.get_loop(), folder))
+                facts = Day.read(folder, config)
         except (DayError, RecordsError, OSError) as error:
             give_up(describe(error))
         told = summary(facts, day_name, seed, {"faults": more["faults"], "load_late_ms": round(more["late_ms"], 1)})
--- /dev/null
+++ b/pebblehinge/lab/processes.py
@@ -0,0 +1,136 @@
+"""A fleet of processes on loopback, killed outright where the day says so."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from pebblehinge.lab.days import DayError
+from pebblehinge.lab.stage import Stage
+from pebblehinge.records import Records
+from pebblehinge.settings import Config, show
+
+
+def monotonic_ms() -> float:
+    """The clock that all processes of one machine share."""
+    return time.monotonic() * 1000.0
+
+
+def own_loopback() -> str:
+    """An address of the loopback range that no other day on this machine uses now."""
+    pid = os.getpid()
+    return f"127.{20 + pid // 62500 % 200}.{pid // 250 % 250}.{1 + pid % 250}"
+
+
+class Processes(Stage):
+    """Each head, shelf, load and the list is a process of this command line."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, config: Config, path: Path, day: str, seed: int, folder: Path,
+        loopback: str, said: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+        except OSError as error:
+            raise DayError(f"records: {folder} can't be made ({error.strerror})") from None
+        super().__init__(loop, monotonic_ms, config, day, seed, Records(folder, "lab", loop.call_soon), said)
+        self.path, self.folder, self.loopback = path, folder, loopback
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.logs = (folder / "processes.log").open("ab")
+        self.lives: dict[str, int] = {}
+        (folder / "day.conf").write_text("\n".join(show(config)) + "\n")
+
+    def _command(self, role: list[str], name: str, *more: str) -> list[str]:
+        base = [sys.executable, "-m", "pebblehinge", *role, str(self.path)]
+        return [*base, *(["--name", name] if name else []), "--loopback", self.loopback, "--records",
+                str(self.folder), *more]  # fmt: skip
+
+    async def _spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+        """Starts a process and waits for the line that says it is ready."""
+        process = await asyncio.create_subprocess_exec(
+            *command, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=self.logs
+        )
+        self.processes[name] = process
+        assert process.stdout is not None
+        line = await asyncio.wait_for(process.stdout.readline(), 30.0)
+        if not line.startswith(b"ready"):
+            await process.wait()
+            raise DayError(f"{name} did not start: see {self.folder / 'processes.log'}")
+        return process
+
+    async def start_all(self) -> None:
+        await self._spawn("listing", self._command(["listing"], "", "--seed", str(self.seed)))
+        await asyncio.gather(*(self.start_one(name, False) for name in self.config.shelf))
+        await asyncio.gather(*(self.start_one(name, False) for name in self.config.head))
+
+    async def start_one(self, name: str, cold: bool) -> None:
+        if name in self.config.head:
+            # A head that starts again draws anew: nothing of before is assumed, its chance neither.
+            life = self.lives[name] = self.lives.get(name, -1) + 1
+            await self._spawn(name, self._command(["head"], name, "--seed", str(self.seed * 1000 + life)))
+            return
+        more = ["--seed", str(self.seed), "--store", str(self.folder / "store")]
+        more += ["--cold"] if cold else []
+        more += ["--release", str(self.releases[name])] if self.releases.get(name) else []
+        await self._spawn(name, self._command(["shelf"], name, *more))
+
+    async def run_load(self, part: int, parts: int, start_ms: float) -> float:
+        name = f"load{part + 1}"
+        process = await self._spawn(name, self._command(
+            ["lab", "load"], "", "--day", self.day, "--seed", str(self.seed), "--part", str(part), "--parts",
+            str(parts), "--start", f"{start_ms:.3f}",
+        ))  # fmt: skip
+        assert process.stdout is not None
+        told = await process.stdout.read()
+        code = await process.wait()
+        if code != 0:
+            raise DayError(f"{name} ended with {code}: see {self.folder / 'processes.log'}")
+        return float(json.loads(told)["late_ms"])
+
+    def is_up(self, name: str) -> bool:
+        process = self.processes.get(name)
+        return process is not None and process.returncode is None
+
+    async def kill_one(self, name: str) -> None:
+        self.processes[name].kill()
+        await self.processes[name].wait()
+
+    async def stop_one(self, name: str) -> int:
+        self.processes[name].terminate()
+        return await self.processes[name].wait()
+
+    def freeze_one(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw_one(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    async def stop_all(self) -> None:
+        for group in (list(self.config.head), list(self.config.shelf), ["listing"]):
+            up = [name for name in group if self.is_up(name)]
+            for name in up:
+                self.processes[name].terminate()
+            for name in up:
+                try:
+                    code = await asyncio.wait_for(self.processes[name].wait(), 15.0)
+                    if code != 0:
+                        self.faults.append(f"{name} ended with {code} at the day's end")
+                except TimeoutError:
+                    self.processes[name].kill()
+                    self.faults.append(f"{name} did not stop")
+
+    def abandon(self) -> None:
+        """Ends every process at once, by its own id: the day is over, or can't go on."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                try:
+                    process.kill()
+                except ProcessLookupError:
+                    pass
+        self.logs.close()
--- /dev/null
+++ b/pebblehinge/lab/village.py
@@ -0,0 +1,211 @@
+"""A whole fleet in one process and in virtual time: the very classes of the running program, on nodes of a network
+in memory. Same seed, same records."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pebblehinge.head import Core, HeadServer
+from pebblehinge.lab.check import Day
+from pebblehinge.lab.clients import Crowd
+from pebblehinge.lab.fleet import released
+from pebblehinge.lab.stage import Stage
+from pebblehinge.lab.virtual import Node, VirtualLoop
+from pebblehinge.listing import ListingServer
+from pebblehinge.settings import Config, show
+from pebblehinge.shelf import Contents, ShelfServer
+
+_encode = msgspec.json.Encoder().encode
+
+
+class Memory:
+    """Records that stay in memory."""
+
+    on = True
+
+    def __init__(self) -> None:
+        self.rows: list[dict[str, Any]] = []
+
+    def note(self, t: float, event: str, **values: Any) -> None:
+        self.rows.append({"t": round(t, 3), "e": event, **values})
+
+    def close(self) -> None:
+        pass
+
+
+class Quiet:
+    """A log that keeps warnings and worse."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, str, dict[str, Any]]] = []
+
+    def debug(self, event: str, **values: Any) -> None:
+        pass
+
+    info = debug
+
+    def warning(self, event: str, **values: Any) -> None:
+        self.lines.append(("warning", event, values))
+
+    def error(self, event: str, **values: Any) -> None:
+        self.lines.append(("error", event, values))
+
+    def bind(self, **_: Any) -> Quiet:
+        return self
+
+
+class Village(Stage):
+    """Every head, shelf, load and the list stands on a node of its own. `head_core` and `head_config` let tests
+    put in a head that breaks a rule on purpose."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        config: Config,
+        day: str,
+        seed: int,
+        said: Callable[[str], None] = lambda line: None,
+        head_core: type[Core] = Core,
+        head_config: Config | None = None,
+    ) -> None:
+        super().__init__(loop.node("lab"), lambda: loop.now * 1000.0, config, day, seed, Memory(), said)
+        self.world = loop
+        self.log = Quiet()
+        self.head_core, self.head_config = head_core, head_config or config
+        self.nodes: dict[str, Node] = {}
+        self.servers: dict[str, Any] = {}
+        self.notes: dict[str, Memory] = {"lab": self.records}  # type: ignore[dict-item]
+        self.contents: dict[int, Contents] = {}
+        self.lives: dict[str, int] = {}
+        net = loop.net
+        rng = random.Random(f"{seed}/net")
+        net.usual.delay_ms = rng.uniform(0.08, 0.2)
+
+    def _memory(self, name: str) -> Memory:
+        return self.notes.setdefault(name, Memory())
+
+    async def start_all(self) -> None:
+        node = self.nodes["listing"] = self.world.node("listing")
+        listing = ListingServer(node, self.clock, self.config, self.log, self._memory("listing"), self.seed)
+        self.servers["listing"] = listing
+        await listing.start()
+        for name in self.config.shelf:
+            await self.start_one(name, False)
+        for name in self.config.head:
+            await self.start_one(name, False)
+
+    async def start_one(self, name: str, cold: bool) -> None:
+        node = self.nodes[name] = self.world.node(name)
+        if name in self.config.head:
+            life = self.lives[name] = self.lives.get(name, -1) + 1
+            config = self.head_config
+            block = msgspec.structs.replace(config.head[name], seed=self.seed * 1000 + life)
+            config = msgspec.structs.replace(config, head={**config.head, name: block})
+            notes = self._memory(f"head-{name}")
+            head = HeadServer(node, self.clock, config, name, self.log, notes, self.head_core)
+            self.servers[name] = head
+            await head.start()
+            return
+        own, config = name, self.config
+        if self.releases.get(name):
+            config = msgspec.structs.replace(config, shelf=dict(config.shelf))
+            own = released(config, name, self.releases[name])
+        contents = self.contents.setdefault(config.shelf[own].slot, Contents())
+        notes = self._memory(f"shelf-{own}")
+        # A name's further lives differ by their seed alone, so that a restart is no replay of the first hour.
+        shelf = ShelfServer(node, self.clock, config, own, self.log, notes, contents, not cold, self.seed)
+        self.servers[name] = shelf
+        await shelf.start()
+
+    async def run_load(self, part: int, parts: int, start_ms: float) -> float:
+        name = f"load{part + 1}"
+        node = self.nodes[name] = self.world.node(name)
+        crowd = Crowd(node, self.clock, self.config, self.day, self.seed, self._memory(name), part, parts)
+        self.servers[name] = crowd
+        await crowd.connect_all()
+        crowd.start(start_ms)
+        await crowd.ended
+        await crowd.close()
+        return crowd.late_ms
+
+    def is_up(self, name: str) -> bool:
+        return name in self.nodes and not self.nodes[name].dead
+
+    async def kill_one(self, name: str) -> None:
+        self.nodes[name].kill()
+
+    async def stop_one(self, name: str) -> int:
+        server, node = self.servers[name], self.nodes[name]
+        if isinstance(server, HeadServer):
+            server.stop("told to")
+            await server.stopped
+        else:
+            server.stop()
+        await asyncio.sleep(0.02)
+        node.kill()
+        return 0
+
+    def freeze_one(self, name: str) -> None:
+        self.nodes[name].freeze()
+
+    def thaw_one(self, name: str) -> None:
+        self.nodes[name].thaw()
+
+    async def stop_all(self) -> None:
+        for name in [*self.config.head, *self.config.shelf]:
+            if self.is_up(name):
+                await self.stop_one(name)
+        self.servers["listing"].stop()
+
+    # ---- what the day left
+
+    def facts(self) -> Day:
+        day = Day(self.config)
+        for name, notes in sorted(self.notes.items()):
+            if name.startswith("load"):
+                day.clients(notes.rows)
+            elif name == "lab":
+                day.lab(notes.rows)
+            elif name == "listing":
+                day.listing(notes.rows)
+            elif name.startswith("shelf-"):
+                day.shelf(name.removeprefix("shelf-"), notes.rows)
+        return day
+
+    def write(self, folder: Path) -> None:
+        """The records as files, as processes would have left them."""
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "day.conf").write_text("\n".join(show(self.config)) + "\n")
+        for name, notes in self.notes.items():
+            (folder / f"{name}.jsonl").write_bytes(b"".join(_encode(row) + b"\n" for row in notes.rows))
+
+
+class VillageError(Exception):
+    """The code under the virtual loop failed: the first fault it was caught with."""
+
+
+def play(
+    config: Config, day: str, seed: int, said: Callable[[str], None] = lambda line: None, **more: Any
+) -> tuple[Village, dict[str, Any]]:
+    """A whole day in virtual time: the village as the day left it, and what the lab knows."""
+    loop = VirtualLoop(seed=seed)
+    asyncio.set_event_loop(loop)
+    try:
+        village = Village(loop, config, day, seed, said, **more)
+        known = loop.run_until_complete(village.play())
+        # Whatever ran into an error in a callback would go unseen otherwise.
+        if loop.caught:
+            context = loop.caught[0]
+            raise VillageError(f"{context.get('message')}: {context.get('exception')!r}") from context.get("exception")
+        return village, known
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        asyncio.set_event_loop(None)
+        loop.close()
