--- a/pebblehinge/cli.py
+++ b/pebblehinge/cli.py
@@ -6,6 +6,7 @@
 import gc
 import json
 import logging
+import os
 import signal
 import sys
 import tempfile
@@ -147,20 +148,24 @@
 @LOOPBACK
 @RECORDS
 @click.option("--seed", type=click.IntRange(0), help="In place of the block's seed.")
-def head(file: str, name: str | None, loopback: str | None, records: str | None, seed: int | None) -> None:
+@click.option("--capture", type=click.Path(dir_okay=False), help="Keep what is taken, without payload, in this file.")
+def head(
+    file: str, name: str | None, loopback: str | None, records: str | None, seed: int | None, capture: str | None
+) -> None:
     """Run a head. SIGTERM: nothing new, every accepted access its answer, then exit 0. SIGHUP: settings again."""
     config = read_settings(file, loopback)
     name = pick(config, "head", name)
     if seed is not None:
         config.head[name].seed = seed
     log = logger(config.log, head=name)
-    run(lambda loop: _head(loop, config, file, name, loopback, records or config.records, log))
+    run(lambda loop: _head(loop, config, file, name, loopback, records or config.records, capture, log))
 
 
 async def _head(
     loop: asyncio.AbstractEventLoop, config: Config, file: str, name: str, loopback: str | None, folder: str | None,
-    log: Any,
+    capture: str | None, log: Any,
 ) -> int:  # fmt: skip
+    from pebblehinge.capture.files import CaptureWriter, file_sink
     from pebblehinge.head import HeadServer
     from pebblehinge.head.metrics import serve_metrics
 
@@ -183,6 +188,15 @@
 
     notes = records_for(folder, f"head-{name}", loop, records_failed)
     server = HeadServer(loop, clock_of(loop), config, name, log, notes)
+    if capture:
+        try:
+            sink = file_sink(capture)
+        except OSError as error:
+            give_up(f"head {name}: {capture}: {describe(error)}")
+        server.capture(CaptureWriter(
+            sink, name, time.time() * 1000.0, clock_of(loop)(),
+            lambda error: log.error("the capture has ended", why=describe(error)),
+        ))  # fmt: skip
     try:
         await server.start()
         if server.block.metrics:
@@ -409,3 +423,172 @@
     told = summary(facts, next(iter(config.day)), 0)
     click.echo(json.dumps(told) if as_json else "\n".join(lines(told)))
     sys.exit(0 if kept(told) else 1)
+
+
+def say_progress(quiet: bool) -> Callable[[str], None]:
+    began = time.monotonic()
+
+    def said(line: str) -> None:
+        if not quiet:
+            click.echo(f"[{time.monotonic() - began:5.1f} s] {line}", err=True)
+
+    return said
+
+
+JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=None, help="Parallel processes; else all cores.")
+QUIET = click.option("--quiet", is_flag=True, help="No progress.")
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print one object.")
+
+
+def jobs_of(jobs: int | None) -> int:
+    return jobs or max(1, (os.cpu_count() or 2))
+
+
+@lab.command(name="search")
+@click.argument("name", default="quiet")
+@click.option("--days", type=click.IntRange(1, 100_000), default=40, show_default=True, help="How many are drawn.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of the first day drawn.")
+@click.option("--length", type=click.IntRange(4, 600), default=20, show_default=True, help="Seconds of a day.")
+@click.option("--save", "folder", type=click.Path(file_okay=False), help="Shrink and save finds as day files here.")
+@JOBS
+@AS_JSON
+@QUIET
+def search_days(
+    name: str, days: int, seed: int, length: int, folder: str | None, jobs: int | None, as_json: bool, quiet: bool
+) -> None:
+    """Draw days with overlapping troubles on the fleet of day NAME, and hunt for broken rules and the worst service."""
+    from pebblehinge.lab import search as hunt
+
+    path, _ = find_day(name)
+    config = read_settings(str(path), "127.0.0.1")
+    said = say_progress(quiet)
+    length_ms = length * 1000.0
+    finds = hunt.search(config, seed, days, length_ms, jobs_of(jobs), said)
+    broken = [f for f in finds if f.broken or f.faults]
+    if folder is not None and finds:
+        keep = broken[:5] or finds[:2]
+        for find in keep:
+            small = hunt.shrink(config, find, length_ms, find.service + 0.03, said)
+            kind = "-".join(small.broken) or ("fault" if small.faults else "service")
+            target = Path(folder) / f"{path.stem}-{find.seed}-{kind}.conf"
+            hunt.save(config, small, length_ms, target, path.stem)
+            said(f"saved {target}")
+    told = hunt.told(finds)
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        click.echo(f"{told['days']} days, {told['broken']} with a broken rule, {told['faults']} with a fault; "
+                   f"service {told['service']['mean']:.3f} in the mean, {told['service']['worst']:.3f} at worst")
+        for row in told["worst"]:
+            what = ", ".join(row["broken"]) or "no rule broken"
+            click.echo(f"  seed {row['seed']}: {row['service']:.3f}, {what}; {', '.join(row['troubles'])}")
+            if row["why"]:
+                click.echo(f"      {row['why'][:200]}")
+    sys.exit(1 if broken else 0)
+
+
+@lab.command(name="report")
+@click.argument("records", type=click.Path(file_okay=False))
+@click.option("-o", "--output", required=True, type=click.Path(dir_okay=False), help="The HTML file.")
+def report(records: str, output: str) -> None:
+    """One self-contained HTML file from a day's RECORDS."""
+    from pebblehinge.lab.check import Day
+    from pebblehinge.lab.report import page
+    from pebblehinge.lab.verdict import summary
+
+    folder = Path(records)
+    if not (folder / "day.conf").is_file():
+        give_up(f"{records} holds no day.conf: expected the records of a day")
+    config = read_settings(str(folder / "day.conf"))
+    name = next(iter(config.day))
+    try:
+        facts = Day.read(folder, config)
+        Path(output).write_text(page(facts, summary(facts, name, 0), f"Day {name}"))
+    except (RecordsError, OSError) as error:
+        give_up(describe(error))
+    click.echo(f"{output}: written")
+
+
+@lab.command(name="compare")
+@click.argument("a")
+@click.argument("b")
+@click.option("--seeds", type=click.IntRange(2, 1000), default=8, show_default=True, help="Pairs of days.")
+@click.option("--build-a", type=click.Path(file_okay=False), help="Checkout of the build that plays A; else this one.")
+@click.option("--build-b", type=click.Path(file_okay=False), help="The same for B.")
+@JOBS
+@AS_JSON
+def compare_days(
+    a: str, b: str, seeds: int, build_a: str | None, build_b: str | None, jobs: int | None, as_json: bool
+) -> None:
+    """Day A against day B (two settings) or one day by two builds, with confidence from repeated seeds."""
+    from pebblehinge.lab.compare import build_root, compare
+
+    paths = [str(find_day(name)[0].resolve()) for name in (a, b)]
+    try:
+        told = compare(*paths, build_root(build_a), build_root(build_b), list(range(1, seeds + 1)), jobs_of(jobs))
+    except RuntimeError as error:
+        give_up(str(error))
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for name in ("service", "p99_ms", "pushed_back"):
+        row = told[name]
+        click.echo(f"{name:12} A {row['a']:.3f}  B {row['b']:.3f}  B-A {row['difference']:+.4f} "
+                   f"[{row['low']:+.4f}, {row['high']:+.4f}] {'clear' if row['clear'] else 'may be chance'}")
+    for side, rules in told["broken"].items():
+        if rules:
+            click.echo(f"{side.upper()} breaks {', '.join(rules)}")
+    sys.exit(1 if any(told["broken"].values()) else 0)
+
+
+@main.command(name="plan")
+@click.argument("captures", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--fleet", required=True, type=click.Path(dir_okay=False), help="Settings that describe the fleet.")
+@click.option("--goal", type=float, default=0.95, show_default=True, help="Service to be held, between 0 and 1.")
+@click.option("--growth", type=float, default=1.0, show_default=True, help="Load to be carried, in captures.")
+@click.option("--lose-zone", "zones", multiple=True, help="A zone to lose; else every zone, rack, a shelf, a head.")
+@click.option("--head-cost", type=float, default=100.0, show_default=True, help="CPU of an access at a head, in us.")
+@click.option("--formulas", is_flag=True, help="The first answer alone, with no trials.")
+@click.option("--html", "page_file", type=click.Path(dir_okay=False), help="Write a page with a plot too.")
+@JOBS
+@AS_JSON
+@QUIET
+def plan_command(
+    captures: tuple[str, ...], fleet: str, goal: float, growth: float, zones: tuple[str, ...], head_cost: float,
+    formulas: bool, page_file: str | None, jobs: int | None, as_json: bool, quiet: bool,
+) -> None:  # fmt: skip
+    """From CAPTURES of heads and a fleet: the first limit, shelfs and heads needed, what a loss would do."""
+    from pebblehinge.capture import CaptureError, read_capture
+    from pebblehinge.lab.replay import merge
+    from pebblehinge.lab.trials import WINDOW_S, run_plan, world_of
+    from pebblehinge.plan import PlanError, Planner
+    from pebblehinge.plan.demand import demand_of, window_of
+    from pebblehinge.plan.text import lines, page
+
+    config = read_settings(fleet, "127.0.0.1")
+    said = say_progress(quiet)
+    try:
+        rows, notes = merge([read_capture(path) for path in captures])
+        whole = demand_of(rows, config)
+        begin, end = whole.busiest(WINDOW_S)
+        world = world_of(config, rows, begin, end)
+        demand = demand_of(world.rows, config, fewest=20, whole=False)
+        known = {s.zone for s in config.shelf.values()}
+        for zone in zones:
+            if zone not in known:
+                raise PlanError(f"zone {zone!r} is not in the fleet: expected one of {', '.join(sorted(known))}")
+        notes += window_of(whole, begin, end)
+        lose = [f"zone {z}" for z in zones] or None
+        planner = Planner(demand, config, goal, growth, lose, head_cost / 1000.0, notes, speeds_from=whole)
+    except (CaptureError, PlanError) as error:
+        give_up(str(error))
+    said(f"first answer: the goal is met up to {planner.first_guess:.2f} times the captured load")
+    if not formulas and not run_plan(planner, world, jobs_of(jobs), said):
+        planner.notes.append("interrupted: the answer rests on the trials played so far")
+    told = planner.answer()
+    if page_file:
+        try:
+            Path(page_file).write_text(page(told))
+        except OSError as error:
+            give_up(describe(error))
+    click.echo(json.dumps(told) if as_json else "\n".join(lines(told)))
--- a/pebblehinge/head/core.py
+++ b/pebblehinge/head/core.py
@@ -23,7 +23,8 @@
 
     __slots__ = (
         "key", "conn", "id", "trace", "access", "volume", "extent", "slot", "units", "label", "op", "offset",
-        "length", "data", "came_ms", "answered", "trip", "trips", "shelf", "sent_ms",
+        "length", "data", "came_ms", "answered", "trip", "trips", "shelf", "sent_ms", "plan", "profile", "again",
+        "trip_ms",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -31,7 +32,7 @@
         self.answered = False
         self.trip: Any = None  # what the link keeps of the trip that is out
         self.trips = 0
-        self.shelf, self.sent_ms = "", 0.0
+        self.shelf, self.sent_ms, self.trip_ms = "", 0.0, 0.0
 
 
 class Doing(Protocol):
@@ -63,6 +64,8 @@
         self.counts = {"taken": 0, "honoured": 0, "pushed back": 0, "terminated": 0, "left": 0, "refused": 0}
         self.outcomes = {outcome: 0 for outcome in Outcome}
         self.further = self.wakes = 0
+        self.now = now
+        self.capture: Any = None  # a CaptureWriter, where what is taken is kept
 
     def start(self, now: float) -> None:
         self._carry_out(self.module.start(now), now)
@@ -80,7 +83,7 @@
         taken.key, taken.conn, taken.id, taken.trace = self.keys, conn, id_, trace
         taken.volume, taken.extent, taken.slot, taken.units = volume, extent, slot, units
         taken.label, taken.op, taken.offset, taken.length, taken.data = label or trace, op, offset, length, data
-        taken.came_ms = now
+        taken.came_ms, taken.profile, taken.again = now, profile, bool(again)
         self.counts["taken"] += 1
         try:
             known_plan, set_size = self._admit(taken, plan, profile)
@@ -90,6 +93,7 @@
             taken.answered = True
             self.doing.answer(taken, PUSHED_BACK, self.config.rules.stay_away_max, str(refusal), b"")
             return None
+        taken.plan = known_plan
         self.taken[taken.key] = taken
         self.open += 1
         self.bytes += len(data)
@@ -131,6 +135,8 @@
         taken.answered = True
         self.open -= 1
         self.counts["left"] += 1
+        if self.capture is not None:
+            self._capture(taken, 3, now)
         assert taken.access is not None
         changes = taken.access.left(now)
         self._carry_out(changes, now)
@@ -145,7 +151,7 @@
         access = taken.access
         assert access is not None
         self.outcomes[outcome] += 1
-        taken.trip = None
+        taken.trip, taken.trip_ms, self.now = None, took_ms, now
         if outcome is Outcome.HONOURED and not taken.answered:
             self._answer(taken, HONOURED, 0.0, "", data)
         over = taken.answered
@@ -169,6 +175,7 @@
 
     def _carry_out(self, first: Changes, now: float) -> None:
         """Does what a call to the module changed; a recall's outcome is a call of its own, done after."""
+        self.now = now
         todo = deque((first,))
         while todo:
             changes = todo.popleft()
@@ -204,8 +211,17 @@
         taken.answered = True
         self.open -= 1
         self.counts[("honoured", "pushed back", "terminated")[final]] += 1
+        if self.capture is not None:
+            self._capture(taken, final, self.now)
         self.doing.answer(taken, final, stay_ms, reason, data)
 
+    def _capture(self, taken: Taken, final: int, now: float) -> None:
+        self.capture.add(
+            taken.came_ms, taken.volume, taken.plan, taken.profile, taken.extent, taken.slot, taken.units,
+            taken.op == WRITE, taken.again, max(taken.length, len(taken.data)), final, round(now - taken.came_ms, 3),
+            round(taken.trip_ms, 3), taken.trips,
+        )  # fmt: skip
+
     def _forget(self, taken: Taken) -> None:
         access = taken.access
         if taken.answered and access is not None and access.over and not access.out:
--- a/pebblehinge/head/server.py
+++ b/pebblehinge/head/server.py
@@ -161,6 +161,8 @@
         if not self.stopped.done():
             self.note(self.clock(), "down", name=self.name)
             self.listing.close()
+            if self.core.capture is not None:
+                self.core.capture.flush()
             for link in [*self.links.values(), *self.retired]:
                 link.close()
             if self.timer is not None:
@@ -244,6 +246,16 @@
         self.log.debug("listed", kind=kind.value, shelfs=len(entries))
         self.core.listed(now, kind, entries)
 
+    def capture(self, writer: Any) -> None:
+        """Keeps what is taken from now on; what stands is written every second."""
+        self.core.capture = writer
+        self._flush_capture()
+
+    def _flush_capture(self) -> None:
+        self.core.capture.flush()
+        if not self.stopped.done() and self.core.capture.on:
+            self.loop.call_later(1.0, self._flush_capture)
+
     def adopt(self, config: Config) -> None:
         """New settings from the same file; addresses stay as they were until a restart."""
         self.config = config
--- a/pebblehinge/lab/clients.py
+++ b/pebblehinge/lab/clients.py
@@ -29,9 +29,10 @@
         records: Records | NoRecords,
         part: int = 0,
         parts: int = 1,
+        draw: Any = None,
     ) -> None:
         self.loop, self.clock, self.config, self.records = loop, clock, config, records
-        self.draw = Draw(config, day, seed, part, parts)
+        self.draw = draw or Draw(config, day, seed, part, parts)
         self.name = f"c{part + 1}"
         self.rng = random.Random(f"{seed}/clients/{part}")
         self.cuts = [t for t in config.day[day].at if t.name == "client-cuts"]
@@ -154,7 +155,7 @@
         honours = self.rng.random() < config.load.honours
         self.records.note(
             at_ms, "op", op=op, profile=ask.profile, plan=ask.plan, volume=ask.volume, x=f"{ask.volume}/{ask.extent}",
-            head=ask.head, u=units, write=ask.op == WRITE,
+            head=ask.head, u=units, write=ask.op == WRITE, slot=ask.slot,
         )  # fmt: skip
         data = payload(op, ask.size) if ask.op == WRITE else b""
 
--- a/pebblehinge/lab/processes.py
+++ b/pebblehinge/lab/processes.py
@@ -73,7 +73,9 @@
         if name in self.config.head:
             # A head that starts again draws anew: nothing of before is assumed, its chance neither.
             life = self.lives[name] = self.lives.get(name, -1) + 1
-            await self._spawn(name, self._command(["head"], name, "--seed", str(self.seed * 1000 + life)))
+            capture = str(self.folder / f"{name}.{life}.capture")
+            more = ["--seed", str(self.seed * 1000 + life), "--capture", capture]
+            await self._spawn(name, self._command(["head"], name, *more))
             return
         more = ["--seed", str(self.seed), "--store", str(self.folder / "store")]
         more += ["--cold"] if cold else []
--- a/pebblehinge/lab/village.py
+++ b/pebblehinge/lab/village.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from pebblehinge.capture import CaptureWriter
 from pebblehinge.head import Core, HeadServer
 from pebblehinge.lab.check import Day
 from pebblehinge.lab.clients import Crowd
@@ -73,15 +74,17 @@
         said: Callable[[str], None] = lambda line: None,
         head_core: type[Core] = Core,
         head_config: Config | None = None,
+        draw: Any = None,
     ) -> None:
         super().__init__(loop.node("lab"), lambda: loop.now * 1000.0, config, day, seed, Memory(), said)
-        self.world = loop
+        self.world, self.draw = loop, draw
         self.log = Quiet()
         self.head_core, self.head_config = head_core, head_config or config
         self.nodes: dict[str, Node] = {}
         self.servers: dict[str, Any] = {}
         self.notes: dict[str, Memory] = {"lab": self.records}  # type: ignore[dict-item]
         self.contents: dict[int, Contents] = {}
+        self.captures: dict[str, bytearray] = {}
         self.lives: dict[str, int] = {}
         net = loop.net
         rng = random.Random(f"{seed}/net")
@@ -110,6 +113,8 @@
             notes = self._memory(f"head-{name}")
             head = HeadServer(node, self.clock, config, name, self.log, notes, self.head_core)
             self.servers[name] = head
+            kept = self.captures[f"{name}.{life}"] = bytearray()
+            head.capture(CaptureWriter(kept.extend, name, self.clock(), self.clock()))
             await head.start()
             return
         own, config = name, self.config
@@ -126,7 +131,7 @@
     async def run_load(self, part: int, parts: int, start_ms: float) -> float:
         name = f"load{part + 1}"
         node = self.nodes[name] = self.world.node(name)
-        crowd = Crowd(node, self.clock, self.config, self.day, self.seed, self._memory(name), part, parts)
+        crowd = Crowd(node, self.clock, self.config, self.day, self.seed, self._memory(name), part, parts, self.draw)
         self.servers[name] = crowd
         await crowd.connect_all()
         crowd.start(start_ms)
@@ -182,6 +187,8 @@
         """The records as files, as processes would have left them."""
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "day.conf").write_text("\n".join(show(self.config)) + "\n")
+        for name, data in self.captures.items():
+            (folder / f"{name}.capture").write_bytes(data)
         for name, notes in self.notes.items():
             (folder / f"{name}.jsonl").write_bytes(b"".join(_encode(row) + b"\n" for row in notes.rows))
 
