--- a/pebblehinge/client/conn.py
+++ b/pebblehinge/client/conn.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -53,6 +54,7 @@
         self.noted = noted
         self.open: dict[int, tuple[asyncio.Future[Result], float, str, asyncio.TimerHandle]] = {}
         self.ids = itertools.count(1)
+        self.given_up: OrderedDict[int, None] = OrderedDict()  # called off here: an answer may have crossed that
         self.up: asyncio.Future[None] = loop.create_future()
         self.stopping = False
         self.why = ""
@@ -87,7 +89,9 @@
         known = self.open.pop(id_, None)
         now = self.loop.time()
         if known is None:
-            if self.noted is not None:  # an answer to what had ended: rule 1 would be broken
+            crossed = id_ in self.given_up
+            self.given_up.pop(id_, None)
+            if self.noted is not None and not crossed:  # an answer to what had ended: rule 1 would be broken
                 self.noted("extra", id=str(id_), final=FINALS[final])
             return
         future, began, trace, timer = known
@@ -146,16 +150,22 @@
             known[3].cancel()
             if self.noted is not None:
                 self.noted("left", id=known[2])
-            self.send(Kind.CANCEL, id_)
+            self._call_off(id_)
 
     def _out_of_time(self, id_: int) -> None:
         known = self.open.pop(id_, None)
         if known is not None:
             future, began, trace, _ = known
-            self.send(Kind.CANCEL, id_)
+            self._call_off(id_)
             took = (self.loop.time() - began) * 1000.0
             self._end(id_, future, Result(OWN_TIME, took_ms=took), trace)
 
+    def _call_off(self, id_: int) -> None:
+        self.send(Kind.CANCEL, id_)
+        self.given_up[id_] = None
+        if len(self.given_up) > 2 * self.session.streams:
+            self.given_up.popitem(last=False)
+
     def _end(self, id_: int, future: asyncio.Future[Result], result: Result, trace: str) -> None:
         if self.noted is not None:
             self.noted("answer", id=trace, final=result.final, stay=result.stay_ms, took=round(result.took_ms, 3))
--- a/pebblehinge/head/link.py
+++ b/pebblehinge/head/link.py
@@ -33,6 +33,7 @@
     def __init__(self, link: ShelfLink, session: Session) -> None:
         super().__init__(link.loop, session, link.limits.stall, link.limits.keepalive)
         self.link = link
+        self.doubted_at: float | None = None  # when it was last heard of, while a ping is out
 
     def ready(self) -> None:
         self.link.opened(self)
@@ -260,11 +261,26 @@
         if self.out.pop(out.number, None) is not None:
             if self.wire is not None:
                 self.wire.send(Kind.RECALL, out.number)
+                self._doubt(self.wire)
             self._end(out, now, Outcome.OVERDUE)
         elif out in self.waiting:
             self.waiting.remove(out)
             self._end(out, now, Outcome.UNREACHED)
 
+    def _doubt(self, wire: _Wire) -> None:
+        """A trip got no answer: is it the shelf, or a connection that is cut in the middle and swallows all? A ping
+        is answered by any process that runs; where even that stays out, a new connection is made."""
+        if wire.doubted_at is None:
+            wire.doubted_at = wire.heard
+            wire.send(Kind.PING, 0)
+            self.loop.call_later(2 * self.limits.connect / 1000.0, self._decide_doubt, wire)
+
+    def _decide_doubt(self, wire: _Wire) -> None:
+        since, wire.doubted_at = wire.doubted_at, None
+        if wire is self.wire and not wire.closed and wire.heard == since:
+            self.refusal = "the connection is silent"
+            wire.abort()
+
     def _end(self, out: Out, now: float, outcome: Outcome, data: bytes = b"") -> None:
         out.timer.cancel()
         if self.noted is not None:
--- a/pebblehinge/plan/planner.py
+++ b/pebblehinge/plan/planner.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import numpy as np
@@ -31,6 +31,7 @@
     seed: int
     shelfs: int | None = None  # None: the fleet as it stands, with data where it lies
     lose: str = ""  # a head's, shelf's name, `rack NAME`, `zone NAME`
+    blur_ms: float = 1_000.0  # how far from their originals the copies of grown load come
 
 
 @dataclass(slots=True)
@@ -88,6 +89,7 @@
         self.first_guess = self._guess_multiple()
         self.guess_shelfs = self._guess_shelfs()
         self.stage = 0
+        self.blur_ms = blur_of(demand)
 
     # ---- by formulas
 
@@ -113,7 +115,8 @@
     def ask(self) -> list[Trial]:
         """The next batch, or none. Trials of one batch do not depend on each other."""
         while self.stage < 5:
-            batch = [t for t in self._batch(self.stage) if t not in self.asked]
+            batch = [replace(t, blur_ms=self.blur_ms) for t in self._batch(self.stage)]
+            batch = [t for t in batch if t not in self.asked]
             self.stage += 1
             if batch:
                 self.asked.update(batch)
@@ -386,6 +389,16 @@
     )
 
 
+def blur_of(demand: Demand) -> float:
+    """How far copies may stray: a few seconds, so that chance crowding is not copied with the load; a part of a
+    second where the load has a spike that is shorter, and that is the design case."""
+    tenths = np.bincount((demand.at / 100.0).astype(int), demand.units)
+    if len(tenths) < 50:
+        return 1_000.0
+    smooth = np.convolve(tenths, np.ones(5) / 5, "valid")
+    return 300.0 if smooth.max() > 1.8 * tenths.mean() else 3_000.0
+
+
 def losses_of(config: Config) -> list[str]:
     """What may be lost at once: every zone and rack that is not all, one shelf, one head."""
     found = []
--- a/pebblehinge/shelf/server.py
+++ b/pebblehinge/shelf/server.py
@@ -153,7 +153,7 @@
         self.registering: asyncio.Task | None = None
         self.again: asyncio.TimerHandle | None = None
         self.draining = self.closed = False
-        self.told_fall = False
+        self.told_fall = self.beginning = False
         self.effects = 0
 
     async def start(self) -> None:
@@ -253,7 +253,17 @@
         t.conn.trips[t.number] = t
         if before:  # the other half of the resets: it is taken, and its answer will find no connection
             t.conn.abort()
-        self._wake()
+        if not self.beginning:
+            self.beginning = True
+            self.loop.call_soon(self._begin)
+
+    def _begin(self) -> None:
+        """After all frames that came together: a trip whose recall stood right behind it, as in the socket of a
+        process that was stopped for a while, must not run."""
+        self.beginning = False
+        if not self.closed:
+            self.machine.begin(self.now)
+            self._wake()
 
     def recall(self, t: _Trip) -> None:
         self.machine.drop(t.job)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -163,6 +163,20 @@
     assert sum(told["answers"].values()) >= told["accesses"] > 1000
 
 
+FINDS = sorted(Path("tests/days").glob("*.conf"))
+
+
+@pytest.mark.parametrize("path", FINDS, ids=lambda p: p.stem)
+@pytest.mark.parametrize("seed", [9, 51])
+def test_days_that_search_found_keep_all_rules_now(path: Path, seed: int) -> None:
+    config = load(path)
+    name = next(iter(config.day))
+    village, known = play(config, name, seed)
+    told = summary(village.facts(), name, seed, {"faults": known["faults"]})
+    assert kept(told), told["rules"]
+    assert known["faults"] == [] and told["service"] > (0.85 if path.stem == "half-open" else 0.7)
+
+
 def test_same_seed_same_records_under_any_hash_seed(tmp_path: Path) -> None:
     kept_bytes = []
     for seed in ("1", "77"):
--- a/tests/test_stand_ins.py
+++ b/tests/test_stand_ins.py
@@ -26,6 +26,7 @@
 
 def run(m: Machine, until: float) -> list[tuple[float, Job]]:
     ended = []
+    m.begin(m.now)
     while (at := m.next_ms()) <= until:
         ended += [(m.now, j) for j in m.advance(at)]
     m.advance(until)
@@ -59,6 +60,7 @@
     m = machine()
     running, waiting = job(2.0), job(2.0, "y")
     m.take(0.0, running)
+    m.begin(0.0)
     m.take(0.0, waiting)
     m.drop(running)
     m.drop(waiting)
