--- a/pebblehinge/plan/planner.py
+++ b/pebblehinge/plan/planner.py
@@ -233,6 +233,9 @@
         else:
             at, low, high = found
         doubt = float(np.mean([e for _, e in self.speeds.values()])) if len(self.demand.at) < 2000 else 0.02
+        if found is not None:  # no surer than the trials on both sides of it lie apart
+            beside = self._bracket(None)
+            low, high = min(low, beside[0]), max(high, beside[1])
         low, high = min(low, at * (1 - doubt)), max(high, at * (1 + doubt))
         cause, where, reason = self._cause(at)
         rest = other_limits(self.demand, self.config, self.slots, self.head_cost_ms)
