--- a/benchmarks/plan_check.py
+++ b/benchmarks/plan_check.py
@@ -153,7 +153,8 @@
     rate = rng.uniform(24.0, 34.0) * shelfs
     goal = rng.choice([0.85, 0.9, 0.95])
     text = FLEET.format(
-        length=14 if big else 24, low=4, high=12, reserve=8, lows=lows, highs=highs, through=min(heads, rng.choice([1, 2, 3])),
+        length=14 if big else 24, low=4, high=12, reserve=8, lows=lows, highs=highs,
+        through=min(heads, rng.choice([1, 2, 3])),
         spread=min(shelfs, rng.choice([2, 3, 4])), pause=rng.choice([0, 60, 100]), run=rng.choice([2, 3, 5]),
         rate=f"{rate:.0f}", surge=rng.choice([6000, 9000]) if shape == "surges" else 0,
         ramp=1.7 if shape == "ramp" else 1, heads=heads, shelfs=shelfs,
@@ -191,7 +192,8 @@
     at = []
     if lose:
         name = "head-crash" if lose in config.head else "mass-restart"
-        at = [Trouble(at=0.35 * min(WINDOW_S * 1000.0, config.day["d"].length), name=name, target=lose.split(), last=AWAY_MS)]
+        half = 0.35 * min(WINDOW_S * 1000.0, config.day["d"].length)
+        at = [Trouble(at=half, name=name, target=lose.split(), last=AWAY_MS)]
     config = altered(config, multiple, at)
     draw = None
     if shelfs is not None:
--- a/pebblehinge/cli.py
+++ b/pebblehinge/cli.py
@@ -225,7 +225,7 @@
 @SEED
 @click.option("--store", type=click.Path(file_okay=False), help="Folder for contents and the journal of effects.")
 @click.option("--cold", is_flag=True, help="It comes back from a crash.")
-@click.option("--release", type=click.IntRange(1, 40), help="It replaces the named shelf, under a further name.")
+@click.option("--release", type=click.IntRange(1, 30), help="It replaces the named shelf, under a further name.")
 def shelf(
     file: str, name: str | None, loopback: str | None, records: str | None, seed: int, store: str | None, cold: bool,
     release: int | None,
--- a/pebblehinge/lab/fleet.py
+++ b/pebblehinge/lab/fleet.py
@@ -12,5 +12,5 @@
     old = config.shelf[name]
     host, _, port = old.listen.rpartition(":")
     new = f"{name}.{number}"
-    config.shelf[new] = msgspec.structs.replace(old, listen=f"{host}:{int(port) + 100 * number}")
+    config.shelf[new] = msgspec.structs.replace(old, listen=f"{host}:{int(port) + 1000 * number}")
     return new
--- a/pebblehinge/lab/stage.py
+++ b/pebblehinge/lab/stage.py
@@ -145,4 +145,4 @@
 
     def _address(self, name: str) -> str:
         host, _, port = self.config.shelf[name].listen.rpartition(":")
-        return f"{host}:{int(port) + 100 * self.releases.get(name, 0)}"
+        return f"{host}:{int(port) + 1000 * self.releases.get(name, 0)}"
--- a/pebblehinge/settings/load.py
+++ b/pebblehinge/settings/load.py
@@ -24,7 +24,7 @@
     "/s": "a rate such as 300/s",
     "": "a number",
 }
-PORTS = {"head": 7000, "metrics": 7050, "listing": 7100, "shelf": 7200}
+PORTS = {"listing": 6999, "head": 7000, "shelf": 10_000}  # a shelf's releases: 1000 further each
 # What each trouble takes: targets (shelf, head, load, list), whether `by`, `every` and `for` are needed.
 TROUBLES: dict[str, tuple[str, bool, bool, bool]] = {
     "crash": ("shelf", False, False, True),
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,354 @@
+"""The Raft core and its storage: elections, replication, faults by seed, membership, disks that forget."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from raft_world import FaultyDisk, World, with_learner, with_voter
+
+from pebblehinge.raft import Entry, Membership, Message, Raft, Role, Snapshot
+from pebblehinge.raft.core import CHUNK
+from pebblehinge.raft.log import Log, LogError
+from pebblehinge.raft.storage import SEGMENT, RealDisk, Storage, StorageError, first_members
+
+FIVE = ["a", "b", "c", "d", "e"]
+
+
+def test_one_leader_comes_and_what_it_is_given_is_applied_everywhere_once_in_order() -> None:
+    world = World(FIVE, 1)
+    world.until(world.leader)
+    for i in range(50):
+        assert world.propose(f"x{i}") is not None
+        world.run(1)
+    world.until(world.settled)
+    assert all(i.applied == [f"x{n}" for n in range(50)] for i in world.instances.values())
+
+
+def test_two_killed_and_then_the_leader_every_change_applied_once_in_order() -> None:
+    """The growth page's own test: five instances, two killed, then the leader, at a time."""
+    world = World(FIVE, 2)
+    leader = world.until(world.leader)
+    sent = []
+
+    def change(n: int) -> None:
+        if world.propose(f"v{n}") is not None:
+            sent.append(f"v{n}")
+
+    others = [n for n in FIVE if n != leader.name]
+    for n in range(10):
+        change(n)
+        world.run(1)
+    for name in others[:2]:
+        world.instances[name].crash()
+    for n in range(10, 20):
+        change(n)
+        world.run(1)
+    world.until(lambda: world.leader() and world.leader().applied_index == world.leader().raft.log.last)
+    before = list(world.leader().applied)
+    leader.crash()  # no majority: the last agreed state stays, nothing new is agreed
+    world.run(60)
+    assert world.leader() is None
+    rest = [world.instances[n] for n in others[2:]]
+    assert all(i.applied == before for i in rest)
+    world.instances[others[0]].start()
+    world.until(world.leader)
+    for n in range(20, 30):
+        change(n)
+        world.run(1)
+    for name in (others[1], leader.name):
+        world.instances[name].start()
+    world.until(world.settled)
+    finals = {tuple(i.applied) for i in world.instances.values()}
+    assert len(finals) == 1 and list(finals.pop()) == sent
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_nothing_of_the_paper_breaks_under_loss_repeats_partitions_and_crashes(seed: int) -> None:
+    world = World(FIVE, seed, lose=0.1, repeat=0.1)
+    world.delay = 6
+    rng = random.Random(seed)
+    count = 0
+    for _ in range(60):
+        what = rng.random()
+        down = [n for n, i in world.instances.items() if not i.up]
+        up = [n for n, i in world.instances.items() if i.up]
+        if what < 0.15 and len(down) < 2:
+            world.instances[rng.choice(up)].crash()
+        elif what < 0.35 and down:
+            world.instances[rng.choice(down)].start()
+        elif what < 0.5:
+            names = rng.sample(FIVE, 5)
+            k = rng.randint(1, 4)
+            world.partition(names[:k], names[k:])
+        elif what < 0.65:
+            world.heal()
+        elif what < 0.75:
+            for i in world.instances.values():
+                if i.up:
+                    i.compact()
+        else:
+            for i in sorted(world.instances):
+                instance = world.instances[i]
+                if instance.up and instance.raft.role is Role.LEADER:  # an old one among them, too
+                    instance.raft.propose(f"p{count}".encode())
+                    instance.work()
+                    count += 1
+        world.run(rng.randint(1, 12))
+    world.heal()
+    world.lose = 0.0
+    for i in world.instances.values():
+        if not i.up:
+            i.start()
+    world.until(world.leader)
+    assert world.propose("last") is not None
+    world.until(lambda: all(i.applied[-1:] == ["last"] for i in world.instances.values()))
+    assert len({tuple(i.applied) for i in world.instances.values()}) == 1
+
+
+def test_a_partitioned_instance_comes_back_without_unseating_the_leader() -> None:
+    world = World(FIVE, 3)
+    leader = world.until(world.leader)
+    term = leader.raft.term
+    lone = next(n for n in FIVE if n != leader.name)
+    world.partition([lone], [n for n in FIVE if n != lone])
+    world.run(200)
+    assert world.instances[lone].raft.term == term  # pre-vote: it asks, and its term stays
+    world.heal()
+    world.run(30)
+    assert world.leader() is leader and leader.raft.term == term
+
+
+def test_a_leader_that_hears_no_majority_steps_down_and_its_reads_are_lost() -> None:
+    world = World(FIVE, 4)
+    leader = world.until(world.leader)
+    world.until(lambda: leader.raft.commit >= leader.raft.term_start)
+    world.partition([leader.name], [n for n in FIVE if n != leader.name])
+    assert leader.raft.read(77)
+    leader.work()
+    world.run(40)
+    assert leader.raft.role is not Role.LEADER and leader.reads == [(77, -1)]
+    assert leader.raft.propose(b"x") is None and not leader.raft.read(78)
+
+
+def test_reads_are_answered_by_a_round_of_the_majority_only() -> None:
+    world = World(FIVE, 5)
+    leader = world.until(world.leader)
+    world.until(world.settled)
+    world.propose("x")
+    world.until(world.settled)
+    assert leader.raft.read(1)
+    assert leader.raft.ready().reads == []
+    leader.raft.read(2)
+    leader.work()
+    world.until(lambda: leader.reads)
+    world.run(5)
+    assert [c for c, _ in leader.reads] == [1, 2] and all(i == leader.raft.commit for _, i in leader.reads) or (
+        leader.reads[0][0] in (1, 2)
+    )
+
+
+def test_an_entry_of_an_old_term_is_not_committed_by_counting() -> None:
+    """Figure 8 of the paper: a majority that holds an old term's entry does not make it safe."""
+    raft = Raft("a", first_members(["a", "b", "c"]), [Entry(1, 1, 1, b"old")], 1, "a", random.Random(1))
+    while raft.role is not Role.LEADER:
+        raft.tick()
+        ready = raft.ready()
+        for m in [*ready.messages, *ready.after]:
+            if m.kind in ("pre-vote", "vote"):
+                raft.step(Message(m.kind + "-answer", m.to, "a", m.term, ok=True))
+    raft.ready()
+    raft.stored(1)  # its own no-op at 2 is not on disk yet
+    raft.step(Message("append-answer", "b", "a", raft.term, 1, ok=True))
+    assert raft.commit == 0
+    raft.stored(2)
+    raft.step(Message("append-answer", "b", "a", raft.term, 2, ok=True))
+    assert raft.commit == 2
+
+
+def test_nothing_is_promised_before_it_is_stored() -> None:
+    raft = Raft("b", first_members(["a", "b", "c"]), [], 0, None, random.Random(1))
+    raft.step(Message("vote", "a", "b", 1, 0, 0))
+    ready = raft.ready()
+    assert ready.hard_state == (1, "a") and ready.messages == [] and [m.kind for m in ready.after] == ["vote-answer"]
+    raft.step(Message("append", "a", "b", 1, 0, 0, 0, entries=(Entry(1, 1, 0),)))
+    ready = raft.ready()
+    assert len(ready.entries) == 1 and ready.messages == [] and ready.after[0].ok
+    raft.step(Message("vote", "c", "b", 1, 9, 9))
+    assert [m.ok for m in raft.ready().after] == [False]  # one vote a term
+
+
+def test_a_follower_far_behind_gets_the_snapshot_in_pieces() -> None:
+    world = World(FIVE, 6)
+    leader = world.until(world.leader)
+    lone = world.instances[next(n for n in FIVE if n != leader.name)]
+    lone.crash()
+    for i in range(40):
+        world.propose(f"{i}-" + "y" * 6000)
+        world.run(1)
+    world.until(lambda: leader.applied_index == leader.raft.log.last)
+    for i in world.instances.values():
+        if i.up:
+            i.compact()
+    assert leader.raft.log.entries == [] and len(leader.raft.log.snapshot.data) > 3 * CHUNK
+    lone.start()
+    world.lose = 0.2
+    world.until(lambda: lone.applied == leader.applied, 2000)
+    world.lose = 0.0
+    world.propose("after")
+    world.until(lambda: lone.applied[-1] == "after")
+    lone.crash()
+    lone.start()  # what it got lasts
+    world.until(lambda: lone.applied[-1:] == ["after"])
+
+
+def test_members_change_one_at_a_time_and_learn_first() -> None:
+    world = World(["a", "b", "c"], 7)
+    leader = world.until(world.leader)
+    world.until(lambda: leader.raft.commit >= leader.raft.term_start)
+    world.add("d", ["a", "b", "c"])
+    now = leader.raft.members
+    assert leader.raft.change(with_voter(now, "d")) == "d must learn first"
+    assert leader.raft.change(Membership(("a", "b", "c", "d", "e"))) == "more than one voter would change"
+    assert leader.raft.change(with_learner(now, "d")) is None
+    assert leader.raft.change(with_learner(now, "x")) == "another change is under way"
+    leader.work()
+    world.until(lambda: world.instances["d"].raft.members.learners == ("d",))
+    world.until(lambda: leader.raft.change(with_voter(leader.raft.members, "d")) is None)
+    leader.work()
+    world.until(lambda: world.settled() and world.instances["d"].raft.members.voters == ("a", "b", "c", "d"))
+    for name in [n for n in ("a", "b", "c") if n != leader.name][:1]:
+        world.instances[name].crash()
+    assert world.propose("with three of four") is not None
+    world.until(lambda: world.instances["d"].applied[-1:] == ["with three of four"])
+    rest = tuple(n for n in leader.raft.members.voters if n != leader.name)
+    world.until(lambda: leader.raft.change(Membership(rest)) is None)  # the leader removes itself
+    leader.work()
+    world.until(lambda: world.leader() not in (None, leader), 2000)
+    assert world.leader().raft.members.voters == rest
+
+
+def test_leadership_is_handed_over_at_once() -> None:
+    world = World(FIVE, 8)
+    leader = world.until(world.leader)
+    world.until(world.settled)
+    to = next(n for n in FIVE if n != leader.name)
+    assert leader.raft.transfer("z") == "z is no other voter"
+    assert leader.raft.transfer(to) is None
+    assert leader.raft.propose(b"meanwhile") is None
+    leader.work()
+    began = world.now
+    world.until(lambda: world.leader() is world.instances[to])
+    assert world.now - began < 15  # less than an election time-out
+
+
+def test_the_commit_moves_on_while_one_follower_is_slow() -> None:
+    world = World(FIVE, 9)
+    leader = world.until(world.leader)
+    slow = next(n for n in FIVE if n != leader.name)
+    world.partition([slow], [n for n in FIVE if n != slow])
+    for i in range(100):
+        assert world.propose(f"x{i}") is not None
+        world.run(1)
+    world.until(lambda: leader.applied[-1:] == ["x99"])
+    progress = leader.raft.progress[slow]
+    assert progress.inflight <= 16  # nothing piles up for it
+
+
+def test_a_group_of_one_commits_alone() -> None:
+    world = World(["a"], 1)
+    world.until(world.leader)
+    world.propose("x")
+    world.until(lambda: world.instances["a"].applied == ["x"])
+
+
+# ---- storage
+
+
+def entries(low: int, high: int, term: int = 1) -> list[Entry]:
+    return [Entry(term, i, 1, f"d{i}".encode()) for i in range(low, high + 1)]
+
+
+def test_what_is_stored_is_read_back_and_cuts_hold() -> None:
+    disk = FaultyDisk(random.Random(1))
+    storage = Storage(disk)
+    storage.store((3, "b"), None, entries(1, 5), None)
+    storage.store(None, 4, entries(4, 6, 2), None)
+    again = Storage(disk)
+    assert (again.term, again.vote) == (3, "b")
+    assert again.entries == entries(1, 3) + entries(4, 6, 2)
+
+
+def test_a_torn_tail_is_cut_and_damage_before_it_is_refused() -> None:
+    disk = FaultyDisk(random.Random(1))
+    Storage(disk).store(None, None, entries(1, 3), None)
+    name = next(n for n in disk.names() if n.startswith("log-"))
+    whole = bytes(disk.files[name])
+    for kept in range(len(whole)):
+        disk.files[name] = bytearray(whole[:kept])
+        found = Storage(disk).entries
+        assert found == entries(1, len(found))
+    disk.files[name] = bytearray(whole + b"\0" * 40)
+    assert Storage(disk).entries == entries(1, 3)
+    hurt = bytearray(whole)
+    hurt[12] ^= 1
+    disk.files[name] = hurt
+    with pytest.raises(StorageError, match="the record at byte 0 is damaged"):
+        Storage(disk)
+    disk.files[name] = bytearray(whole)
+    Storage(disk).store((1, "a"), None, [], None)
+    disk.files["raft.state"][5] ^= 1
+    with pytest.raises(StorageError, match="raft.state is damaged"):
+        Storage(disk)
+
+
+@pytest.mark.parametrize("how", ["append", "sync"])
+def test_a_disk_that_fails_stops_the_instance_for_good(how: str) -> None:
+    disk = FaultyDisk(random.Random(1))
+    storage = Storage(disk)
+    storage.store(None, None, entries(1, 2), None)
+    disk.fail = how
+    with pytest.raises(StorageError, match="this instance has stopped"):
+        storage.store(None, None, entries(3, 3), None)
+    disk.fail = ""  # a later success says nothing of what was lost before
+    with pytest.raises(StorageError, match="this instance has stopped"):
+        storage.store(None, None, entries(4, 4), None)
+
+
+def test_an_instance_whose_disk_fills_up_stops_and_the_others_go_on() -> None:
+    world = World(FIVE, 10)
+    leader = world.until(world.leader)
+    full = world.instances[next(n for n in FIVE if n != leader.name)]
+    full.disk.room = 10
+    for i in range(10):
+        world.propose(f"x{i}")
+        world.run(2)
+    world.until(lambda: leader.applied[-1:] == ["x9"])
+    assert not full.up
+    full.disk.room = None
+    full.start()
+    world.until(lambda: full.applied == leader.applied)
+
+
+def test_snapshots_reclaim_segments_on_a_real_disk(tmp_path) -> None:
+    disk = RealDisk(tmp_path)
+    storage = Storage(disk)
+    big = [Entry(1, i, 1, b"z" * (SEGMENT // 3)) for i in range(1, 8)]
+    for entry in big:
+        storage.store(None, None, [entry], None)
+    assert len([n for n in disk.names() if n.startswith("log-")]) == 3
+    storage.store(None, None, [], Snapshot(1, 6, Membership(("a",)), b"state"))
+    again = Storage(RealDisk(tmp_path))
+    assert again.snapshot.index == 6 and [e.index for e in again.entries] == [7]
+    assert len([n for n in disk.names() if n.startswith("log-")]) == 1
+    assert [n for n in disk.names() if n.startswith("snap-")] == ["snap-000000000006.raft"]
+    disk.close()
+
+
+def test_a_log_with_a_hole_is_refused() -> None:
+    with pytest.raises(LogError):
+        Log(first_members(["a"]), [Entry(1, 2, 1)])
+    disk = FaultyDisk(random.Random(1))
+    Storage(disk).store(None, None, [*entries(1, 2), *entries(4, 5)], None)
+    with pytest.raises(StorageError, match="entry 3 is missing"):
+        Storage(disk)
