--- a/benchmarks/group_kills.py
+++ b/benchmarks/group_kills.py
@@ -84,7 +84,8 @@
             await kill(member)
     kept = [n for n in notes if n in set(said_yes)]
     missing = [n for n in said_yes[-len(notes) :] if n not in notes]
-    sound = ok and len(commits) == 1 and len(notes) == len(set(notes)) and kept == said_yes[-len(kept) :] and not missing
+    in_order = kept == said_yes[-len(kept) :] and len(notes) == len(set(notes))
+    sound = ok and len(commits) == 1 and in_order and not missing
     print(f"{rounds} rounds, {len(said_yes)} versions said yes to, {len(notes)} kept in the end, all instances at "
           f"{sorted(commits)}: {'sound' if sound else 'BROKEN'}")
     return 0 if sound else 1
--- a/pebblehinge/agreed/feed.py
+++ b/pebblehinge/agreed/feed.py
@@ -13,7 +13,7 @@
 
 
 class _Wire(Peer):
-    FRAMES = frozenset({Kind.GRANT})
+    FRAMES = frozenset({Kind.GRANT, Kind.NEWS})
 
     def __init__(self, feed: Feed, session: Session) -> None:
         super().__init__(feed.loop, session, feed.limits.stall)
@@ -25,6 +25,9 @@
     def gone(self, exc: Exception | None) -> None:
         self.feed.lost(self)
 
+    def on_news(self, changed: int) -> None:
+        self.feed.ask()  # by its own versions: whatever it missed meanwhile comes with the answer
+
     def on_grant(self, *values: Any) -> None:
         self.feed.granted(*values)
 
--- a/pebblehinge/agreed/server.py
+++ b/pebblehinge/agreed/server.py
@@ -99,7 +99,7 @@
         self.contexts = itertools.count(1)
         self.on_its_way: dict[tuple[Any, ...], int] = {}  # commands of the leader itself -> index
         self.applied: list[tuple[int, str]] = []  # for tests: what was applied, with its result
-        self.failure = ""
+        self.failure, self.told_of = "", 0
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.server: Any = None
         self.timer: asyncio.TimerHandle | None = None
@@ -136,6 +136,11 @@
         if waiting is not None:
             term, tell = waiting
             tell(said if term == entry.term else "another leader came: ask whether it was done")
+        if self.state.changed != self.told_of and self.node.leads:
+            self.told_of = self.state.changed
+            for conn in self.conns:
+                if conn.session.peer_role == "head":
+                    conn.send(Kind.NEWS, self.told_of)
         for key in [k for k, index in self.on_its_way.items() if index <= entry.index]:
             del self.on_its_way[key]
 
--- a/pebblehinge/wire/frames.py
+++ b/pebblehinge/wire/frames.py
@@ -46,6 +46,7 @@
     GRANT = 82
     ASK = 83
     TOLD = 84
+    NEWS = 85
 
 
 ENTRY = tuple[str, str, str, int, float]  # shelf, address, standing, slot, milliseconds since its start or -1
@@ -79,6 +80,7 @@
     Kind.GRANT: tuple[int, float, int, str, int, str, dict[str, tuple[float, float]], str],
     Kind.ASK: tuple[int, str, dict[str, str | int]],
     Kind.TOLD: tuple[int, bool, str, str],
+    Kind.NEWS: tuple[int],
 }
 _DECODERS = {int(kind): (kind, msgspec.msgpack.Decoder(shape)) for kind, shape in SHAPES.items()}
 _encode = msgspec.msgpack.Encoder().encode
--- a/tests/raft_world.py
+++ b/tests/raft_world.py
@@ -75,6 +75,7 @@
         self.lives = 0
         self.up = False
         self.reads: list[tuple[int, int]] = []
+        self.asked: dict[int, int] = {}  # context of a read -> what was known to be committed when it was asked
         self.start()
 
     def start(self) -> None:
@@ -107,6 +108,9 @@
             for entry in ready.committed:
                 self.apply(entry)
             self.reads += ready.reads
+            for context, index in ready.reads:
+                floor = self.asked.pop(context, 0)
+                assert index < 0 or index >= floor, f"{self.name} reads at {index} what had reached {floor}"
             for message in [*ready.messages, *ready.after]:
                 self.world.post(message)
 
@@ -114,6 +118,7 @@
         assert entry.index == self.applied_index + 1, f"{self.name} applies {entry.index} after {self.applied_index}"
         self.applied_index = entry.index
         known = self.world.committed.setdefault(entry.index, entry)
+        self.world.top = max(self.world.top, entry.index)
         assert known == entry, f"two entries committed at {entry.index}: {known} and {entry}"
         if entry.kind == DATA:
             self.applied.append(entry.data.decode())
@@ -136,6 +141,8 @@
         self.delay = 3
         self.cut: set[tuple[str, str]] = set()
         self.committed: dict[int, Entry] = {}
+        self.top = 0  # the highest index that anyone has applied
+        self.contexts = 0
         self.leaders: dict[int, str] = {}
         self.instances = {n: Instance(self, n, names) for n in names}
 
@@ -270,6 +277,10 @@
             for n in sorted(world.instances):
                 instance = world.instances[n]
                 if instance.up and instance.raft.role is Role.LEADER:  # an old one among them, too
+                    world.contexts += 1
+                    instance.asked[world.contexts] = world.top
+                    if not instance.raft.read(world.contexts):
+                        del instance.asked[world.contexts]
                     instance.raft.propose(f"p{count}".encode())
                     instance.work()
                     count += 1
--- a/tests/test_agreed.py
+++ b/tests/test_agreed.py
@@ -245,6 +245,21 @@
     assert apply(9, "refuse", 2, "h1: no") == "" and state.pending == 0 and state.versions[2].refused == "h1: no"
 
 
+def test_without_sessions_a_repeated_proposal_would_be_applied_twice() -> None:
+    class Forgetful(State):
+        def apply(self, entry: Entry) -> str:
+            self.sessions.clear()
+            return super().apply(entry)
+
+    for kind, wanted in ((State, ""), (Forgetful, "wait for it")):
+        state = kind()
+        entry = Entry(1, 1, 1, packed("propose", 0, document(), "a", ""), "s", 1)
+        again = Entry(1, 2, 1, packed("propose", 1, document(), "a", ""), "s", 1)
+        assert state.apply(entry) == ""
+        assert wanted in state.apply(again)
+        assert kind is State or "wait for it" in state.apply(again)
+
+
 def test_a_head_restarts_on_its_last_version_without_a_lease() -> None:
     taking = Taking("h1", 0.2)
     token = taking.asked(100.0)
@@ -479,6 +494,14 @@
         changed = tmp_path / "changed.conf"
         changed.write_text(path.read_text().replace("limit 100/s", "limit 80/s"))
         assert config("propose", str(changed), "--base", "1").returncode == 0
+        big = tmp_path / "big.conf"
+        big.write_text(path.read_text() + "".join(f"volume x{n} {{\n    plan capped\n}}\n" for n in range(20_000)))
+        wrong = config("propose", str(big), "--base", "2")
+        assert wrong.returncode != 0 and "Traceback" not in wrong.stderr and wrong.stderr.count("\n") <= 2, wrong.stderr
+        odd = path.read_text().replace("plan capped\n    heads", "plan nowhere\n    heads")
+        (tmp_path / "odd.conf").write_text(odd)
+        wrong = config("propose", str(tmp_path / "odd.conf"))
+        assert wrong.returncode == 2 and "plan 'nowhere' is not there" in wrong.stderr
         late = config("propose", str(changed), "--base", "1")
         assert late.returncode == 1 and "based on version 1, the newest is 2" in late.stderr
         assert "-    limit 100/s" in config("diff", "1", "2").stdout
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -355,3 +355,70 @@
         monkeypatch.setattr(Membership, "quorum", lambda self: 1)
     with pytest.raises(Broken, match="two leaders in term 1"):
         explore(Bounds(terms=1, proposals=0, crashes=0, beats=0, way=5, states=30_000))
+
+
+class Forgets(Storage):
+    """A vote that is given and not stored."""
+
+    def store(self, hard_state, cut, entries, snapshot) -> None:
+        super().store(None, cut, entries, snapshot)
+
+
+class OldTerms(Raft):
+    """Commits by counting whatever the term."""
+
+    def _advance(self) -> None:
+        real, self.log.term = self.log.term, lambda index: self.term if index > self.commit else real(index)
+        try:
+            super()._advance()
+        finally:
+            del self.log.term
+
+
+class OwnReads(Raft):
+    """Answers a read with what it believes, without a round of the majority."""
+
+    def read(self, context: int) -> bool:
+        if self.role is Role.LEADER:
+            self.out.reads.append((context, self.commit))
+        return self.role is Role.LEADER
+
+
+@pytest.mark.parametrize("how", ["vote not stored", "own reads"])
+def test_a_broken_instance_is_caught_by_the_runs(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if how == "vote not stored":
+        monkeypatch.setattr("raft_world.Storage", Forgets)
+    else:
+        monkeypatch.setattr("raft_world.Raft", OwnReads)
+    with pytest.raises((AssertionError, LogError, StorageError)):
+        for seed in range(400):
+            rough(seed)
+
+
+def lost_at_a_power_cut(seed: int) -> bool:
+    disk = FaultyDisk(random.Random(seed))
+    storage = Storage(disk)
+    storage.store((2, "a"), None, entries(1, 4), None)
+    storage.store(None, 3, entries(3, 5, 2), None)
+    disk.crash()
+    again = Storage(disk)
+    return (again.term, again.vote, again.entries) != (2, "a", entries(1, 2) + entries(3, 5, 2))
+
+
+def test_what_was_stored_survives_a_power_cut_and_without_fsync_it_would_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert not any(lost_at_a_power_cut(seed) for seed in range(50))
+    monkeypatch.setattr(FaultyDisk, "sync", lambda self, name: None)
+    assert any(lost_at_a_power_cut(seed) for seed in range(50))
+
+
+def test_a_commit_by_an_old_term_is_caught() -> None:
+    raft = OldTerms("a", first_members(["a", "b", "c"]), [Entry(1, 1, 1, b"old")], 1, "a", random.Random(1))
+    while raft.role is not Role.LEADER:
+        raft.tick()
+        ready = raft.ready()
+        for m in [*ready.messages, *ready.after]:
+            if m.kind in ("pre-vote", "vote"):
+                raft.step(Message(m.kind + "-answer", m.to, "a", m.term, ok=True))
+    raft.stored(1)
+    raft.step(Message("append-answer", "b", "a", raft.term, 1, ok=True))
+    assert raft.commit == 1  # what test_an_entry_of_an_old_term_is_not_committed_by_counting forbids
