--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,13 +5,16 @@
 import asyncio
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
+from helpers import LOOPBACK
 
 from pebblehinge.client import Result, Retries
 from pebblehinge.lab.days import DayError, timeline
@@ -311,3 +314,36 @@
         assert done.returncode == 0 and "Usage:" in done.stdout
     shown = command("check", "--show", str(DAYS / "bad-day.conf"))
     assert shown.returncode == 0 and "# default" in shown.stdout
+
+
+def test_settings_are_read_again_by_signal_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "head.conf"
+    text = HEAD.replace("127.0.0.1:1", f"{LOOPBACK}:7999") + "log {\n    form json\n}\n"
+    path.write_text(text)
+    with (tmp_path / "log").open("wb") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pebblehinge", "head", str(path)], stdout=subprocess.PIPE, stderr=log
+        )
+    try:
+        assert process.stdout is not None and process.stdout.readline() == b"ready\n"
+
+        def told(event: str) -> list[dict]:
+            deadline = time.monotonic() + 5.0
+            while time.monotonic() < deadline:
+                rows = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+                if found := [r for r in rows if r["event"] == event]:
+                    return found
+                time.sleep(0.02)
+            return []
+
+        path.write_text(text.replace("expected", "expecting"))
+        process.send_signal(signal.SIGHUP)
+        assert "'expecting'" in str(told("settings stay as they were"))
+        path.write_text(text.replace("100ms", "200ms"))
+        process.send_signal(signal.SIGHUP)
+        assert told("settings taken up")
+        process.terminate()
+        assert process.wait(5) == 0
+    finally:
+        process.kill()
+        process.wait()
