Probes, fetches of the list and an unread window go: nothing ever asked for them

The module fills neither Changes.probes nor ListCall.FETCH, and reads no fall_window_ms; what carried them out (core, server, link, adapter, stand-in shelf and list, frames 35, 36 and 49) was called by nobody from the command line or the adapter. The setting fall-window stays: the rule checker and the stand-in shelfs read it.

--- a/benchmarks/head_cost.py
+++ b/benchmarks/head_cost.py
@@ -128,7 +128,7 @@
 class AtOnce(Peer):
     """A shelf's connection that answers each trip at once."""
 
-    FRAMES = frozenset({Kind.TRIP, Kind.RECALL, Kind.PROBE})
+    FRAMES = frozenset({Kind.TRIP, Kind.RECALL})
     reply = b""
 
     def on_trip(self, number: int, id_: str, trip: int, extent: str, op: int, *rest: Any) -> None:
@@ -137,9 +137,6 @@
     def on_recall(self, number: int) -> None:
         pass
 
-    def on_probe(self, token: int) -> None:
-        self.send(Kind.PROBED, token, 0.0)
-
 
 class Asker(Peer):
     """A lean client: keeps `width` accesses out, or sends at a rate; the time of each is kept."""
--- a/pebblehinge/head/core.py
+++ b/pebblehinge/head/core.py
@@ -44,7 +44,6 @@
     def answer(self, taken: Taken, final: int, stay_ms: float, reason: str, data: bytes) -> None: ...
     def wake_at(self, at_ms: float) -> None: ...
     def call_list(self, call: ListCall) -> None: ...
-    def probe(self, shelf: str) -> None: ...
 
 
 class Refusal(Exception):
@@ -222,8 +221,6 @@
                 self._forget(taken)
             for call in changes.list_calls:
                 self.doing.call_list(call)
-            for shelf in changes.probes:
-                self.doing.probe(shelf)
             if changes.wake_ms is not None:
                 self.doing.wake_at(changes.wake_ms)
 
--- a/pebblehinge/head/link.py
+++ b/pebblehinge/head/link.py
@@ -28,7 +28,7 @@
 
 
 class _Wire(Peer):
-    FRAMES = frozenset({Kind.OUTCOME, Kind.PROBED, Kind.STOPPING})
+    FRAMES = frozenset({Kind.OUTCOME, Kind.STOPPING})
 
     def __init__(self, link: ShelfLink, session: Session) -> None:
         super().__init__(link.loop, session, link.limits.stall, link.limits.keepalive)
@@ -59,9 +59,6 @@
     def on_outcome(self, number: int, status: int, reason: str, data: bytes) -> None:
         self.link.came(number, status, reason, data)
 
-    def on_probed(self, token: int, load: float) -> None:
-        pass
-
     def on_stopping(self, reason: str) -> None:
         pass
 
@@ -120,10 +117,6 @@
         elif out in self.waiting:
             self.waiting.remove(out)
 
-    def probe(self) -> None:
-        if self.wire is not None:
-            self.wire.send(Kind.PROBE, 0)
-
     def retire(self) -> None:
         """The shelf is to be found elsewhere: what is out here still ends here, then the connection closes."""
         self.retired = True
--- a/pebblehinge/head/listing.py
+++ b/pebblehinge/head/listing.py
@@ -62,7 +62,7 @@
             self.calls.append(call)
             del self.calls[:-4]
         else:
-            self.wire.send(Kind.WATCH if call is ListCall.WATCH else Kind.FETCH, 1)
+            self.wire.send(Kind.WATCH, 1)
 
     def close(self) -> None:
         self.closed = True
--- a/pebblehinge/head/server.py
+++ b/pebblehinge/head/server.py
@@ -306,9 +306,6 @@
     def call_list(self, call: ListCall) -> None:
         self.listing.call(call)
 
-    def probe(self, shelf: str) -> None:
-        self.links[shelf].probe()
-
     # ---- from shelfs and list
 
     def _ended(self, now: float, *rest: Any) -> None:
--- a/pebblehinge/interface.py
+++ b/pebblehinge/interface.py
@@ -64,7 +64,6 @@
     """A call to the service that keeps the list."""
 
     WATCH = "watch"
-    FETCH = "fetch"
 
 
 class Final(Enum):
@@ -122,7 +121,6 @@
     cold_share: float
     warm_ms: float
     fall_multiple: float
-    fall_window_ms: float
     order_settle_ms: float
     budget_share: float | None
     budget_free: float
@@ -162,5 +160,4 @@
 
     handles: list[Access] = field(default_factory=list)
     wake_ms: float | None = None
-    probes: list[str] = field(default_factory=list)
     list_calls: list[ListCall] = field(default_factory=list)
--- a/pebblehinge/listing/server.py
+++ b/pebblehinge/listing/server.py
@@ -17,7 +17,7 @@
 class ListingConn(Peer):
     """A head that watches or asks, a shelf that registers, or the lab."""
 
-    FRAMES = frozenset({Kind.WATCH, Kind.FETCH, Kind.REGISTER, Kind.STANDING, Kind.CONTROL})
+    FRAMES = frozenset({Kind.WATCH, Kind.REGISTER, Kind.STANDING, Kind.CONTROL})
 
     def __init__(self, listing: ListingServer) -> None:
         limits = listing.config.limits
@@ -40,9 +40,6 @@
         self.watches = True
         self.listing.tell_whole(self)
 
-    def on_fetch(self, token: int) -> None:
-        self.listing.tell_whole(self)
-
     def on_register(self, shelf: str, address: str, slot: int, rack: str, age_ms: float) -> None:
         try:
             parse_address(address)
--- a/pebblehinge/settings/schema.py
+++ b/pebblehinge/settings/schema.py
@@ -377,7 +377,6 @@
             cold_share=r.cold_share,
             warm_ms=r.warm,
             fall_multiple=r.fall_multiple,
-            fall_window_ms=r.fall_window,
             order_settle_ms=r.order_settle,
             budget_share=r.budget_share,
             budget_free=r.budget_free,
--- a/pebblehinge/shelf/server.py
+++ b/pebblehinge/shelf/server.py
@@ -16,7 +16,6 @@
 from pebblehinge.wire.frames import APPEND, APPENDED, WRITE
 
 DONE, ERRED, FULL = 0, 1, 2
-PROBE_MS = 0.3  # work of one probe
 STRIKES = {  # control verbs and the machine's settings while they act, with their values at rest
     "slow": {"slow": 1.0},
     "hang": {"hang": False},
@@ -34,7 +33,7 @@
 class ShelfConn(Peer):
     """One head's (or the lab's) connection."""
 
-    FRAMES = frozenset({Kind.TRIP, Kind.RECALL, Kind.PROBE, Kind.CONTROL})
+    FRAMES = frozenset({Kind.TRIP, Kind.RECALL, Kind.CONTROL})
 
     def __init__(self, shelf: ShelfServer) -> None:
         limits = shelf.config.limits
@@ -85,12 +84,6 @@
         if t is not None:
             self.shelf.recall(t)
 
-    def on_probe(self, token: int) -> None:
-        shelf = self.shelf
-        shelf.machine.take(shelf.now, Job(None, 0.0, False, "", 1, float("inf"), True))
-        busy = len(shelf.machine.queue) + len(shelf.machine.running)
-        self.send(Kind.PROBED, token, float(busy))
-
     def on_control(self, token: int, verb: str, values: dict[str, float | str]) -> None:
         if self.session.peer_role != "lab":
             raise WireError("CONTROL is for the lab")
--- a/pebblehinge/wire/frames.py
+++ b/pebblehinge/wire/frames.py
@@ -34,10 +34,7 @@
     TRIP = 32
     RECALL = 33
     OUTCOME = 34
-    PROBE = 35
-    PROBED = 36
     WATCH = 48
-    FETCH = 49
     LIST = 50
     REGISTER = 51
     STANDING = 52
@@ -68,10 +65,7 @@
     Kind.TRIP: tuple[int, str, int, str, int, int, int, float, str | None, float, bytes],
     Kind.RECALL: tuple[int],
     Kind.OUTCOME: tuple[int, int, str, bytes],
-    Kind.PROBE: tuple[int],
-    Kind.PROBED: tuple[int, float],
     Kind.WATCH: tuple[int],
-    Kind.FETCH: tuple[int],
     Kind.LIST: tuple[int, str, list[ENTRY]],
     Kind.REGISTER: tuple[str, str, int, str, float],
     Kind.STANDING: tuple[str],
--- a/pebblehinge/wirehost/codec.py
+++ b/pebblehinge/wirehost/codec.py
@@ -41,7 +41,7 @@
 REPEATS = {"safe": Repeat.REDOABLE, "keyed": Repeat.LABELLED, "unsafe": Repeat.IRREVERSIBLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 REPEAT_BIT = 2  # of an ARRIVAL's options
-CALLS = {ListCall.WATCH: "LISTEN 1", ListCall.FETCH: "LOOKUP"}
+CALLS = {ListCall.WATCH: "LISTEN 1"}
 
 
 class WireError(Exception):
@@ -294,7 +294,6 @@
         cold_share=rules.get("cold_share", float),
         warm_ms=rules.get("warm_after_s", float, scale=ms),
         fall_multiple=rules.get("fall_multiple", float),
-        fall_window_ms=rules.get("overload_for_s", float, scale=ms),
         order_settle_ms=rules.get("order_settle_s", float, 0.0, scale=ms),
         budget_share=rules.get("repeat_ratio", float) if budget else None,
         budget_free=rules.get("min_extra", float) if budget else 0.0,
--- a/pebblehinge/wirehost/loop.py
+++ b/pebblehinge/wirehost/loop.py
@@ -121,7 +121,6 @@
                 lines.append(codec.write_answer(access.id, answer.final, answer.stay_away_ms))
             if access.over and not access.out:
                 instance.accesses.pop(access.id, None)
-        lines += [f"SAMPLE {shelf}" for shelf in changes.probes]
         lines += [codec.CALLS[call] for call in changes.list_calls]
         wake = changes.wake_ms
         if wake is not None and (instance.wake_ms is None or wake < instance.wake_ms):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -140,7 +140,7 @@
 
 
 class ScriptConn(Peer):
-    FRAMES = frozenset({Kind.TRIP, Kind.RECALL, Kind.PROBE})
+    FRAMES = frozenset({Kind.TRIP, Kind.RECALL})
 
     def __init__(self, shelf: ScriptShelf) -> None:
         super().__init__(shelf.loop, Session("shelf", shelf.name, 1 << 20, 64, greets=False), 5000.0)
@@ -158,9 +158,6 @@
     def on_recall(self, number: int) -> None:
         self.shelf.recalled.append(number)
 
-    def on_probe(self, token: int) -> None:
-        self.send(Kind.PROBED, token, 0.0)
-
 
 class ScriptShelf:
     """A shelf that does with each trip what the test says; it answers at once if nothing else is said."""
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -44,7 +44,7 @@
 SETTINGS = Settings(
     profiles=(), plans=(), mean_units=2.0, most_units=8.0, share_worth=0.3, idle_worth=0.1,
     asks_for_list=False, marks_repeats=False, may_recall=True, stay_away_max_ms=500.0,
-    try_limit=3, step_ms=1.0, cold_share=0.25, warm_ms=10000.0, fall_multiple=4.0, fall_window_ms=1000.0,
+    try_limit=3, step_ms=1.0, cold_share=0.25, warm_ms=10000.0, fall_multiple=4.0,
     order_settle_ms=0.0, budget_share=None, budget_free=0.0, budget_window_ms=0.0,
 )  # fmt: skip
 
