Limits: a store begins no fuller than what has surely filled

Seen: a volume at rest for a minute was forgotten once 4,096 others were used, and its next access found a store filled since the head's birth: 100 units went, 62 s later 60 more at half a unit a second. And a limit raised in service counted at the new rate since birth for volumes that the head had not seen. Ruled out: the stores that stand (adopt already cuts what was not looked at), the even part, set_size. At fault: _store (st.at_ms = self.born after popitem), adopt. Now a new store fills from the last forgotten one's time, or from the adoption. Both tests failed before. Harm: a volume of a limited plan, seen for the first time after that, waits as after a restart.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -116,6 +116,7 @@
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.cfg, self.born = settings, now
+        self.known_ms = now  # since when the limit of a volume that is not in stores has surely filled
         self.rng, self.seq = random.Random(seed), 0
         self.profiles = {p.name: p for p in settings.profiles}
         self.plans = {p.name: p for p in settings.plans}
@@ -225,6 +226,7 @@
     def adopt(self, now: float, settings: Settings) -> Changes:
         """New settings while accesses are held. What a limit's store filled since its last look is not
         counted: it would be at a rate not yet in force. Harm: a plan that is gone holds to its end."""
+        self.known_ms = now if settings.plans != self.cfg.plans else self.known_ms
         self.cfg = settings
         self.profiles = {p.name: p for p in settings.profiles}
         self.plans = {p.name: p for p in settings.plans}
@@ -470,15 +472,16 @@
 
     def _store(self, a: Access, now: float) -> Store:
         """The volume's stores, filled up to now. The limit's store starts empty with the head and not with
-        the volume: a restarted head cannot know what it spent, so it counts on what has surely filled."""
+        the volume: a restarted head cannot know what it spent, so it counts on what has surely filled; nor of
+        a volume that was forgotten, before the last that was; nor of a plan, before it was adopted."""
         plan, n = a.plan, a.set_size
         st = self.stores.pop(a.volume, None)
         if st is None:
             st = Store()
             st.reserve = st.share = self.cfg.most_units
-            st.limit, st.at_ms = 0.0, self.born
+            st.limit, st.at_ms = 0.0, self.known_ms
             if len(self.stores) > REMEMBERED and now - next(iter(self.stores.values())).at_ms > 60000.0:
-                self.stores.popitem(last=False)
+                self.known_ms = max(self.known_ms, self.stores.popitem(last=False)[1].at_ms)
         self.stores[a.volume] = st
         passed = (now - st.at_ms) / 1000.0
         st.at_ms = now
--- /dev/null
+++ b/tests/test_hardening.py
@@ -0,0 +1,69 @@
+"""What a head is left with after long churn, odd answers, replaced shelfs and input that can hurt."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from test_scenarios import PLANS, PROFILES, SETTINGS
+
+from pebblehinge.decide import REMEMBERED, Access, Head
+from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
+
+SAFE = replace(SETTINGS, profiles=PROFILES, plans=PLANS, warm_ms=10.0)
+
+
+def listed(head: Head, now: float, *rows: tuple[str, int, float], kind: ListKind = ListKind.CHANGES) -> Changes:
+    return head.listed(now, kind, [Entry(name, Standing.READY, slot, started) for name, slot, started in rows])
+
+
+def take(head: Head, now: float, slot: int = 0, **more: Any) -> Access:
+    given: dict[str, Any] = {"extent": None, "profile": "look", "plan": "gold", "volume": "v", "set_size": 1,
+                             "units": 1.0, "left": 3000.0}  # fmt: skip
+    given |= more
+    left = given.pop("left")
+    return head.take(now, 1, slot=slot, abandon_ms=now + left, **given)[0]
+
+
+def went(a: Access) -> bool:
+    trips, _, _ = a.drain()
+    return bool(trips)
+
+
+def served(head: Head, now: float, slot: int, took: float) -> None:
+    """An access goes and is honoured."""
+    a = take(head, now, slot)
+    assert went(a), "it was to be sent"
+    a.ended(now + took, 0, Outcome.HONOURED, True, took)
+
+
+def test_a_volume_at_rest_does_not_get_back_more_of_its_limit_than_has_filled() -> None:
+    """Seen: a volume forgotten after a minute began again as if it had filled since the head's start."""
+    plans = (replace(PLANS[2], limit_rate=0.5, limit_burst=100.0, limit_slack=0.0), PLANS[0])
+    head = Head(replace(SAFE, plans=plans, most_units=100.0), 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0))
+    first = take(head, 300_000.0, plan="capped", units=100.0, volume="v")
+    assert went(first)
+    first.ended(300_010.0, 0, Outcome.HONOURED, True, 10.0)
+    for n in range(REMEMBERED + 10):
+        take(head, 361_000.0 + n / 100, slot=9, volume=f"w{n}")  # refused: nobody has that slot
+    assert "v" not in head.stores, "it was to be forgotten"
+    again = take(head, 362_000.0, plan="capped", units=60.0, volume="v", profile="bulk")
+    assert not went(again), "62 s fill 31 units"
+
+
+def test_a_limit_that_was_raised_in_service_fills_from_then_on() -> None:
+    plans = (replace(PLANS[2], limit_rate=1.0, limit_burst=10.0, limit_slack=0.0), PLANS[0])
+    settings = replace(SAFE, plans=plans, most_units=100.0)
+    head = Head(settings, 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0))
+    raised = replace(plans[0], limit_rate=50.0, limit_burst=100.0)
+    head.adopt(100_000.0, replace(settings, plans=(raised, plans[1])))
+    # A volume that this head has not seen had 10 units at the most, and since then 50 a second.
+    assert not went(take(head, 100_010.0, plan="capped", units=90.0, volume="new", profile="bulk"))
+
+
+def test_a_head_that_knows_nothing_starts_limits_empty() -> None:
+    head = Head(SAFE, 1, 50_000.0)
+    listed(head, 50_000.0, ("A", 0, 0.0))
+    assert not went(take(head, 50_000.0, plan="capped", profile="bulk"))
