First answers no longer rule a head that started empty

Seen: a head's first answer, of 5 s, was the mean of all shelfs; everything was refused at every shelf for 25 s, and as nothing was sent nothing corrected it. With answers coming in, 33 of 50 ms still left the mean at 1.8 s. Ruled out: the shelf's own mean (gives way in 2 s), the bound, health. At fault: _learn (every if every else took, then 3% an answer), _every (one pace for all). Now each of the first 33 answers weighs as much as those before it (the quartile likewise), and what few answers say gives way in 0.3 s for each. Harm: a few go in vain. Both tests failed before.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -143,7 +143,7 @@
         self.waits, self.last_extent = [], []  # slots kept for an extent, until when; the last one sent
         self.plain_ms, self.run_ms, self.mean_ms = [], [], []  # latency averages
         self.seen_ms, self.all_ms = [], 0.0  # when the mean was last fed; the mean over all shelfs ...
-        self.fed_ms = now  # ... and when that was
+        self.fed_ms, self.answers = now, 0  # ... when that was, and from how many it was learned
         self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
         self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
         self.past: dict[str, list[float]] = {}  # what an earlier life knew of shelfs that were not listed yet
@@ -214,6 +214,7 @@
         self.fed_ms = now - age - fed
         if left > 0.5:
             self.low_ms, self.usual_worth, self.seq = low, worth, int(left / FOLLOW)
+            self.answers = self.seq
         for extent, counts in state["thinks"].items():
             e = self.extents[extent] = Extent(self.rng.random())
             e.counts = {b: n * left for b, n in counts.items() if n * left >= 0.01}
@@ -597,7 +598,8 @@
             split[s] += FORGET * (took - split[s]) if split[s] else took
             took /= a.size
             self._learn(s, now, took)
-            self.low_ms = self.low_ms * (1 + FOLLOW * (0.25 - (took < self.low_ms))) or took
+            step = max(FOLLOW, 1 / (1 + self.answers))
+            self.low_ms = self.low_ms * (1 + step * (0.25 - (took < self.low_ms))) or took
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.OVERDUE):
             self.lost[s] += 1
             # One broken connection says little: links may break here and there while the shelf is well. But a
@@ -623,14 +625,16 @@
 
     def _every(self, now: float) -> float:
         """The mean over all shelfs. It gives way to nothing known, more slowly: where all were slow at once
-        a head with little to do would refuse all by it for good. Harm: a few are sent in vain."""
-        return self.all_ms * math.exp((self.fed_ms - now) / ALL_AGE_MS)
+        a head with little to do would refuse all by it for good. The fewer answers it stands on, the sooner:
+        a first one that is odd must not rule a head that started empty. Harm: a few are sent in vain."""
+        known = min(1.0, max(1, self.answers) * FOLLOW)
+        return self.all_ms * math.exp((self.fed_ms - now) / (ALL_AGE_MS * known))
 
     def _learn(self, s: int, now: float, took: float) -> None:
         old = self._mean(s, now) or took
         self.mean_ms[s], self.seen_ms[s] = old + STEADY * (took - old), now
-        every, self.fed_ms = self._every(now), now
-        self.all_ms = every + FOLLOW * (took - every) if every else took
+        every, self.fed_ms, self.answers = self._every(now), now, self.answers + 1
+        self.all_ms = every + max(FOLLOW, 1 / self.answers) * (took - every) if every else took
 
     def _recall_overtaken(self, answered: Access, s: int, now: float) -> None:
         """A shelf takes accesses in turn: a trip that later ones overtook long ago got lost on the way,
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -5,9 +5,10 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
 from test_scenarios import PLANS, PROFILES, SETTINGS
 
-from pebblehinge.decide import REMEMBERED, Access, Head
+from pebblehinge.decide import BOUND, REMEMBERED, Access, Head
 from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
 
 SAFE = replace(SETTINGS, profiles=PROFILES, plans=PLANS, warm_ms=10.0)
@@ -37,6 +38,24 @@
     a.ended(now + took, 0, Outcome.HONOURED, True, took)
 
 
+def test_a_first_answer_of_five_seconds_does_not_make_a_head_refuse_all_shelfs() -> None:
+    """Seen: one slow first answer was the mean of all shelfs for 25 s, and with nothing sent nothing corrected it."""
+    head = Head(SAFE, 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0), ("B", 1, 0.0))
+    first = take(head, 0.0, 0, left=6000.0)
+    first.ended(5000.0, 0, Outcome.HONOURED, True, 5000.0)
+    assert went(take(head, 7000.0, 1))
+
+
+def test_a_first_answer_among_many_weighs_no_more_than_the_others() -> None:
+    head = Head(SAFE, 1, 0.0)
+    listed(head, 0.0, *((f"s{i}", i, 0.0) for i in range(20)))
+    served(head, 0.0, 0, 5000.0)
+    for i in range(1, 20):
+        head._learn(i, 5000.0, 50.0)
+    assert head._every(5000.0) == pytest.approx((5000.0 / 0.75 + 19 * 50.0) / 20, rel=0.4)
+
+
 def test_a_volume_at_rest_does_not_get_back_more_of_its_limit_than_has_filled() -> None:
     """Seen: a volume forgotten after a minute began again as if it had filled since the head's start."""
     plans = (replace(PLANS[2], limit_rate=0.5, limit_burst=100.0, limit_slack=0.0), PLANS[0])
@@ -63,6 +82,16 @@
     assert not went(take(head, 100_010.0, plan="capped", units=90.0, volume="new", profile="bulk"))
 
 
+def test_a_head_that_knows_nothing_sends_no_more_than_the_bound_to_each_shelf() -> None:
+    head = Head(SAFE, 1, 0.0)
+    listed(head, 0.0, *((f"s{i}", i, 0.0) for i in range(5)))
+    accesses = [take(head, 0.1 * n, n % 5, left=(40.0, 399.0, 3000.0)[n % 3]) for n in range(300)]
+    assert sum(a.out for a in accesses) <= 5 * BOUND
+    head.woken(390.0)
+    late = [a for a in accesses if a.abandon_ms < 100.0 and not a.out]
+    assert late and all(a.over for a in late), "their time is over: each has its answer"
+
+
 def test_a_head_that_knows_nothing_starts_limits_empty() -> None:
     head = Head(SAFE, 1, 50_000.0)
     listed(head, 50_000.0, ("A", 0, 0.0))
