Giving up many accesses costs in step with their number; one wake for what is held

Seen: for each access that _shed gave up, all before it were looked at again (200 of 400 held: 39,996 comparisons, 100 of 200: 9,996); and each held access asked for a wake of its own at every look, so wakes held one entry an access and time. Ruled out: _close and _changed, whose scans compare identities only. At fault: min() over a slice in _shed's loop, _wake in its last loop. Now what is placed stands in a heap once one must go, and a shelf asks for the next end only; every look asks again. Both tests failed before.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -515,6 +515,7 @@
         held, mean, bound = self.held[s], self._mean(s, now), self.bound[s]
         idle = min(mean, IDLE * self.low_ms)
         down, room, i = self._down(s, now), bound - len(self.away[s]), 0
+        least: list[tuple[float, float, int, Access]] = []  # a heap of those up to i, once one must go
         if down and now < self.trial_ms[s]:
             for a in list(held):
                 self._give_up(a, "its shelf is down")
@@ -535,16 +536,20 @@
                 a.density *= a.profile.late_share
                 insort(held, a)
                 continue
-            end = now + needs + mean * max(0, i + 1 - room) / bound
-            if end > a.due_ms or now >= a.abandon_ms or (down and i):
-                victim = min(held[: i + 1], key=lambda b: (b.density, -b.due_ms, -b.seq))
+            if least:
+                heapq.heappush(least, (a.density, -a.due_ms, -a.seq, a))
+            while a.held and ((down and i) or now >= a.abandon_ms
+                              or now + needs + mean * max(0, i + 1 - room) / bound > a.due_ms):  # fmt: skip
+                if not least:
+                    least = [(b.density, -b.due_ms, -b.seq, b) for b in held[: i + 1]]
+                    heapq.heapify(least)
+                victim = heapq.heappop(least)[-1]
                 over = now >= victim.abandon_ms
                 self._give_up(victim, "its time is up" if over else "others earn more there")
-                i = min(i, held.index(a)) if a.held else i
-                continue
-            i += 1
-        for a in held:  # rule 1: whichever shelf an access has come to stand at, its end is asked for there
-            self._wake(a.abandon_ms if a.due_ms >= a.abandon_ms else a.due_ms, s)
+                i -= victim is not a
+            i += a.held
+        if held:  # rule 1: whichever shelf an access has come to stand at, the next end is asked for there
+            self._wake(min(a.abandon_ms if a.due_ms >= a.abandon_ms else a.due_ms for a in held), s)
 
     def _give_up(self, a: Access, why: str) -> None:
         """The final answer, at once. Pushed back where trying again is harmless, with a time to stay away."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -56,6 +56,50 @@
     assert head._every(5000.0) == pytest.approx((5000.0 / 0.75 + 19 * 50.0) / 20, rel=0.4)
 
 
+def test_wakes_are_not_asked_for_by_each_access_that_is_held() -> None:
+    """Seen: an entry for every held access and every new time."""
+    head = Head(SAFE, 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0))
+    for n in range(1000):
+        take(head, n * 0.1, profile="bulk", left=500.0 + n * 1.4)
+    assert sum(len(h) for h in head.held) > 900
+    assert len(head.wakes) < 50
+
+
+def test_giving_up_a_hundred_held_accesses_costs_in_step_with_their_number() -> None:
+    """Seen: for each that was given up, all before it were looked at again."""
+
+    class Counted(float):
+        looks = 0
+
+        def _count(self, other: float) -> None:
+            Counted.looks += 1
+
+        def __lt__(self, other: float) -> bool:
+            self._count(other)
+            return float.__lt__(self, other)
+
+        def __eq__(self, other: object) -> bool:
+            self._count(0.0)
+            return float.__eq__(self, other)
+
+        __hash__ = float.__hash__
+
+    def looks(count: int) -> int:
+        head = Head(SAFE, 1, 0.0)
+        listed(head, 0.0, ("A", 0, 0.0))
+        for _ in range(count):
+            a = take(head, 0.0, profile="bulk")
+            a.density = Counted(a.density)
+        head.mean_ms[0], head.seen_ms[0] = 2000.0 * BOUND / (count / 2), 1.0  # of a sudden half can't be in time
+        Counted.looks = 0
+        head._serve(0, 1.0, None)
+        assert count * 0.4 < len(head.held[0]) < count * 0.6
+        return Counted.looks
+
+    assert looks(400) < 2.6 * looks(200)
+
+
 def test_a_volume_at_rest_does_not_get_back_more_of_its_limit_than_has_filled() -> None:
     """Seen: a volume forgotten after a minute began again as if it had filled since the head's start."""
     plans = (replace(PLANS[2], limit_rate=0.5, limit_burst=100.0, limit_slack=0.0), PLANS[0])
