A shelf replaced under its name is another: what was learned and held goes

Seen: (1) a list gave a shelf another slot, and what was held for the old one was sent there; a labelled access went again to data of another cell; new objects were pushed back though any shelf would do. (2) after a restart, an earlier start, none or another slot, the former process's means, losses and trips judged the new one. (3) a start no longer stated was taken for long ago. (4) a dead shelf that answered was cold from its last failure, not from that answer. (5) memory knew names only. (6) every name ever listed kept a place in 19 columns; memory's rest stayed. Ruled out: the adapter and the link, which pass on what the list says; the stand-in list, whose ages move a start by what it takes (hence SAME_MS). At fault: listed (slots[s] = ..., the chill alone), _go_again, _note_health, _add_shelf, recall. Now _meet says which process it is, _forget what goes with the former one, places of shelfs that left are given away, and memory keeps slot and start (files of before are still read). A new object's pick sorts nothing.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -31,6 +31,7 @@
 AGES_MS = 2000.0  # a shelf's mean latency gives way to that of all shelfs at this pace
 ALL_AGE_MS = 10_000.0  # that mean, once nothing answers any more, gives way to nothing at this pace
 KEEPS_MS = 120_000.0  # what an earlier life learned counts for less the longer it lay, at this pace
+SAME_MS = 1000.0  # starts that lie nearer are one process's: lists tell ages, and take their time
 REMEMBERED = 4096  # extents, and volumes at rest for a minute: the least recently used goes first
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 GOES_AGAIN = (Outcome.ERRED, Outcome.FULL, Outcome.BROKEN, Outcome.RECALLED)  # the shelf may be well
@@ -125,6 +126,8 @@
         self.shortest_ms = min(p.expected_ms for p in settings.profiles)
         self.index: dict[str, int] = {}
         self.at_slot: dict[int, int] = {}  # slot -> shelf that holds it and may be sent to
+        self.takers: list[int] = []  # these shelfs, in order
+        self.vacant: dict[int, None] = {}  # places whose shelf left the list, the first to leave first
         self.extents: OrderedDict[str, Extent] = OrderedDict()
         self.stores: OrderedDict[str, Store] = OrderedDict()
         self.lines: dict[str, list[Access]] = {}  # order by key: accesses not over, or with a trip out
@@ -147,6 +150,7 @@
         self.heard_ms, self.lost = [], []  # last answer, or first trip after a rest; trips overdue since
         self.dead, self.trial_ms = [], []  # no connection; when the next careful trip may go
         self.past: dict[str, list[float]] = {}  # what an earlier life knew of shelfs that were not listed yet
+        self.recalled_ms = now
 
     # ---- calls from outside
 
@@ -160,34 +164,43 @@
         if kind is ListKind.FAILED:
             self._wake(now + self.rng.uniform(500.0, 1500.0), -1)
             return self._finish(now)
-        named = self.index if kind is ListKind.CHANGES else {e.shelf for e in entries}
-        touched = [s for s, name in enumerate(self.names) if self.ready[s] and name not in named]
-        for s in touched:
-            self.ready[s] = False
+        if now - self.recalled_ms > KEEPS_MS:
+            self.past.clear()
+        named, touched = {e.shelf for e in entries}, []
+        for s, name in enumerate(self.names) if kind is not ListKind.CHANGES else ():
+            if name not in named:
+                touched += [s] if self.ready[s] else []
+                self.ready[s], self.vacant[s] = False, None
         for entry in entries:
             s = self.index.get(entry.shelf)
             if s is None:
+                if entry.standing is Standing.GONE:
+                    continue
                 s = self._add_shelf(entry, now)
-            self.slots[s] = entry.slot
             self.ready[s] = entry.standing is Standing.READY  # rule 3: nothing to it once told otherwise
-            if entry.started_ms > self.started[s]:
-                self.started[s] = entry.started_ms
-                if now - entry.started_ms < self.cfg.warm_ms:
-                    self._chill(s, min(entry.started_ms, now))
-                    self.dead[s] = False
+            if self.ready[s]:
+                self._meet(s, entry, now)
+            self.vacant.pop(s, None)
+            if entry.standing is Standing.GONE:
+                self.vacant[s] = None
             touched.append(s)
-        newest_last = sorted(range(len(self.names)), key=self.started.__getitem__)
-        self.at_slot = {self.slots[s]: s for s in newest_last if self.ready[s]}
+        self.at_slot = {}
+        for s, slot in enumerate(self.slots):  # of several that hold a slot, the one that started last
+            if self.ready[s] and self.started[s] >= self.started[self.at_slot.get(slot, s)]:
+                self.at_slot[slot] = s
+        self.takers = sorted(self.at_slot.values())
         for s in touched:  # what is held for a shelf that left moves to its replacement, or is given up
-            for a in [] if self.ready[s] else list(self.held[s]):
-                heir = self.at_slot.get(a.slot, -1)
+            moved = {s, self.at_slot.get(self.slots[s], s)}
+            for a in [a for a in self.held[s] if not self.ready[s] or 0 <= a.slot != self.slots[s]]:
+                heir = self.at_slot.get(a.slot, -1) if a.slot >= 0 else self._pick_new()
                 if heir < 0 or a.risk_ms is not None:
                     self._give_up(a, "its shelf left the list")
                 else:
                     self.held[s].remove(a)
                     a.shelf = heir
                     insort(self.held[heir], a)
-            for affected in sorted({s, self.at_slot.get(self.slots[s], s)}):
+                    moved.add(heir)
+            for affected in sorted(moved):
                 self._serve(affected, now, None)
         return self._finish(now)
 
@@ -198,7 +211,10 @@
                    -1.0 if self.cold_ms[s] is None else now - self.cold_ms[s]]
             for s, name in enumerate(self.names) if self.mean_ms[s] or self.cold_ms[s] is not None
         }  # fmt: skip
-        return {"shelfs": shelfs, "every": [self.all_ms, now - self.fed_ms, self.low_ms, self.usual_worth],
+        lives = {name: [self.slots[s], now - self.started[s] if self.started[s] else -1.0]
+                 for name, s in self.index.items() if name in shelfs}  # fmt: skip
+        return {"shelfs": shelfs, "lives": lives,
+                "every": [self.all_ms, now - self.fed_ms, self.low_ms, self.usual_worth],
                 "thinks": {x: e.counts for x, e in self.extents.items() if e.counts},
                 "limits": {v: [st.limit, now - st.at_ms] for v, st in self.stores.items()},
                 "further": [now - t for t in self.further]}  # fmt: skip
@@ -208,8 +224,9 @@
         counts for less the longer it lay. What limits had left is known only where nothing was sent after it
         was written (whole); else they start empty, as ever. Harm: a fleet that changed meanwhile is judged by
         what it was, for some seconds at most."""
-        left = math.exp(-age / KEEPS_MS)
-        self.past = {name: [*row, now - age, left] for name, row in state["shelfs"].items()}
+        left, lives, self.recalled_ms = math.exp(-age / KEEPS_MS), state.get("lives", {}), now
+        self.past = {name: [*row, now - age, left, *lives.get(name, (-1, -1.0))]
+                     for name, row in state["shelfs"].items()}  # fmt: skip
         self.all_ms, fed, low, worth = state["every"]
         self.fed_ms = now - age - fed
         if left > 0.5:
@@ -442,6 +459,7 @@
     def _go_again(self, a: Access, s: int, now: float, outcome: Outcome) -> bool:
         """Whether a failed access is queued again, for a further trip to the only shelf that has its data."""
         vain = not self.ready[s] or now + self._mean(s, now) * a.size > a.abandon_ms
+        vain = vain or 0 <= a.slot != self.slots[s]  # its data is elsewhere by now
         vain = vain or a.sent >= self.cfg.try_limit or outcome not in GOES_AGAIN
         if vain or self._down(s, now) or not self._may_repeat(a, now, 1):
             return False
@@ -591,8 +609,12 @@
         return self.dead[s] or self.lost[s] >= LOST or (quiet and bool(self.away[s]))
 
     def _note_health(self, a: Access, s: int, now: float, outcome: Outcome, took: float) -> None:
+        if a.sent_ms < self.started[s]:  # to the process before this one: it says nothing of it
+            return
         if outcome is Outcome.HONOURED:
             self.heard_ms[s] = now
+            if self.dead[s]:  # nobody knows since when it runs again: it may have been started for this trip
+                self._chill(s, a.sent_ms)
             self.dead[s], self.lost[s] = False, 0
             # Crowding by other heads, slowness and thrashing all show as trips that take long: fewer go out,
             # down to one, so that an access waits here, where it can still be chosen or refused.
@@ -661,8 +683,32 @@
 
     # ---- small things
 
+    def _meet(self, s: int, entry: Entry, now: float) -> None:
+        """Which process has this name. What one before it taught does not judge it; what was held for another
+        slot's data moves on. One that started lately is cold, and so is one of which that is told no more."""
+        started, known = min(entry.started_ms, now), self.started[s]
+        other = entry.slot != self.slots[s] or abs(started - known) > SAME_MS
+        self.slots[s], self.started[s] = entry.slot, started
+        if other:
+            self._forget(s, now)
+            if known and not started:
+                self._chill(s, now)
+        recent = started and now - started < self.cfg.warm_ms  # a start of 0 is long ago
+        if recent and (other or self.cold_ms[s] is None or started > known):
+            self._chill(s, started if started > known else max(started, self.cold_ms[s] or started))
+
+    def _forget(self, s: int, now: float) -> None:
+        """Nothing is known of a shelf but its name, its slot, and that it may be cold."""
+        self.width[s], self.bound[s], self.last_extent[s] = float(BOUND), BOUND, None
+        self.plain_ms[s] = self.run_ms[s] = self.mean_ms[s] = 0.0
+        self.seen_ms[s], self.heard_ms[s], self.lost[s] = -math.inf, now, 0
+        self.dead[s], self.trial_ms[s] = False, now
+
     def _add_shelf(self, entry: Entry, now: float) -> int:
-        s = len(self.names)
+        """A place for a new name; one whose shelf left and has nothing here any more is given away first."""
+        s = next((p for p in self.vacant if not self.held[p] and not self.away[p]), len(self.names))
+        if s in self.vacant:
+            del self.vacant[s], self.index[self.names[s]]
         self.index[entry.shelf] = s
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
@@ -671,9 +717,11 @@
             (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.seen_ms, -math.inf),
             (self.heard_ms, now), (self.lost, 0), (self.dead, False), (self.trial_ms, now),
         ):  # fmt: skip
-            column.append(value)
+            column[s : s + 1] = [value]
         if entry.shelf in self.past:
-            plain, run, mean, seen, width, cold, then, left = self.past.pop(entry.shelf)
+            plain, run, mean, seen, width, cold, then, left, slot, since = self.past.pop(entry.shelf)
+            self.slots[s] = slot if slot >= 0 else entry.slot
+            self.started[s] = entry.started_ms if slot < 0 else then - since if since >= 0 else 0.0
             self.plain_ms[s], self.run_ms[s] = plain, run
             self.mean_ms[s], self.seen_ms[s] = mean, then - seen
             self.width[s] = BOUND + (width - BOUND) * left
@@ -684,10 +732,9 @@
 
     def _pick_new(self) -> int:
         """A new object: two shelfs drawn at random, the one that this head's own counts favour."""
-        ready = sorted(self.at_slot.values())
-        if not ready:
+        if not self.takers:
             return -1
-        pair = self.rng.sample(ready, min(2, len(ready)))
+        pair = self.rng.sample(self.takers, min(2, len(self.takers)))
         return min(pair, key=lambda s: (self.dead[s], len(self.away[s]) + len(self.held[s]), self.mean_ms[s]))
 
     def _wake(self, at: float, s: int) -> None:
--- a/pebblehinge/store/memory.py
+++ b/pebblehinge/store/memory.py
@@ -44,6 +44,7 @@
     thinks: dict[str, dict[int, float]]
     limits: dict[str, tuple[float, float]]
     further: list[float]
+    lives: dict[str, tuple[int, float]] = {}  # slot and age of each shelf's process; none in files of before
 
 
 def mark_of(settings: Any) -> str:
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -6,10 +6,14 @@
 from typing import Any
 
 import pytest
+from test_rules_can_break import BASE
 from test_scenarios import PLANS, PROFILES, SETTINGS
 
 from pebblehinge.decide import BOUND, REMEMBERED, Access, Head
 from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
+from pebblehinge.lab.village import play
+from pebblehinge.settings.load import loads
+from pebblehinge.store import memory
 
 SAFE = replace(SETTINGS, profiles=PROFILES, plans=PLANS, warm_ms=10.0)
 
@@ -38,6 +42,9 @@
     a.ended(now + took, 0, Outcome.HONOURED, True, took)
 
 
+# ---- an odd first answer
+
+
 def test_a_first_answer_of_five_seconds_does_not_make_a_head_refuse_all_shelfs() -> None:
     """Seen: one slow first answer was the mean of all shelfs for 25 s, and with nothing sent nothing corrected it."""
     head = Head(SAFE, 1, 0.0)
@@ -56,6 +63,137 @@
     assert head._every(5000.0) == pytest.approx((5000.0 / 0.75 + 19 * 50.0) / 20, rel=0.4)
 
 
+# ---- a shelf that is replaced under its name
+
+
+def slow(head: Head, now: float) -> None:
+    """B is quick for a while, A took two seconds and lost three trips."""
+    for n in range(40):
+        served(head, now + n, 1, 20.0)
+    for a in [take(head, now + 50, 0, left=2500.0) for _ in range(3)]:
+        assert went(a)
+        a.ended(now + 2050, 0, Outcome.HONOURED, True, 2000.0)
+    head.lost[head.index["A"]] = 3
+
+
+@pytest.mark.parametrize("row", [("A", 0, 13_000.0), ("A", 0, 4_000.0), ("A", 0, 0.0), ("A", 7, 8_000.0)])
+def test_what_a_former_process_taught_does_not_judge_the_one_that_has_its_name(row: tuple[str, int, float]) -> None:
+    """A later start, an earlier one, one that is not stated any more, another slot."""
+    head = Head(SAFE, 1, 10_000.0)
+    listed(head, 10_000.0, ("A", 0, 8_000.0), ("B", 1, 0.0))
+    slow(head, 10_000.0)
+    assert head.mean_ms[0] > 800.0
+    listed(head, 13_100.0, row)
+    s = head.index["A"]
+    assert (head.mean_ms[s], head.lost[s], head.dead[s]) == (0.0, 0, False)
+    assert went(take(head, 13_200.0, row[1], volume="x"))
+
+
+def test_a_list_that_lay_on_its_way_is_no_new_process() -> None:
+    """Ages are told, so the start of one process moves by what a list takes: nothing learned may be lost by it."""
+    head = Head(SAFE, 1, 10_000.0)
+    listed(head, 10_000.0, ("A", 0, 8_000.0), ("B", 1, 0.0))
+    slow(head, 10_000.0)
+    before = head.mean_ms[head.index["A"]]
+    listed(head, 13_100.0, ("A", 0, 8_003.5), ("B", 1, 0.0), kind=ListKind.WHOLE)
+    assert head.mean_ms[head.index["A"]] == before > 0
+
+
+def test_trips_of_a_former_process_say_nothing_of_the_new_one() -> None:
+    head = Head(replace(SAFE, warm_ms=10_000.0), 1, 10_000.0)
+    listed(head, 10_000.0, ("A", 0, 0.0))
+    trips = [take(head, 10_000.0, profile="save") for _ in range(BOUND)]
+    listed(head, 10_500.0, ("A", 0, 10_400.0))
+    for a in trips:
+        a.ended(10_600.0, 0, Outcome.BROKEN, False, 600.0)
+    s = head.index["A"]
+    assert (head.lost[s], head.dead[s], head.cold_ms[s]) == (0, False, 10_400.0)
+
+
+def test_a_start_that_is_not_stated_any_more_counts_as_cold_from_now() -> None:
+    head = Head(replace(SAFE, warm_ms=10_000.0), 1, 50_000.0)
+    listed(head, 50_000.0, ("A", 0, 20_000.0))
+    assert head.cold_ms[0] is None
+    listed(head, 60_000.0, ("A", 0, 0.0))
+    assert head.cold_ms[0] == 60_000.0
+
+
+def test_a_dead_shelf_that_answers_is_cold_from_then_on_however_long_it_was_not_asked() -> None:
+    """Seen: cold from the last failed connection on, and so nearly warm, though it may have started just now."""
+    head = Head(replace(SAFE, warm_ms=10_000.0, cold_share=1.0), 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0))
+    take(head, 0.0).ended(1.0, 0, Outcome.UNREACHED, False, 1.0)
+    a = take(head, 9_000.0)
+    assert went(a)
+    a.ended(9_010.0, 0, Outcome.HONOURED, True, 10.0)
+    assert head.cold_ms[0] == 9_000.0 and not head.dead[0]
+
+
+def test_memory_of_a_former_process_or_slot_is_not_taken_up() -> None:
+    head = Head(SAFE, 1, 10_000.0)
+    listed(head, 10_000.0, ("A", 0, 8_000.0), ("B", 1, 0.0), ("C", 2, 0.0))
+    served(head, 10_000.0, 2, 30.0)
+    slow(head, 10_000.0)
+    state = head.remembered(13_100.0)
+    later = Head(SAFE, 2, 500.0)
+    later.recall(500.0, state, 1_000.0, True)
+    # A started anew since, B has another slot, C is as it was.
+    listed(later, 600.0, ("A", 0, 550.0), ("B", 5, 0.0), ("C", 2, 0.0))
+    means = {name: later.mean_ms[later.index[name]] for name in "ABC"}
+    assert means["A"] == means["B"] == 0.0 < means["C"]
+
+
+def test_memory_of_before_this_was_kept_is_still_taken_up(tmp_path: Any) -> None:
+    head = Head(SAFE, 1, 10_000.0)
+    listed(head, 10_000.0, ("A", 0, 0.0))
+    served(head, 10_000.0, 0, 30.0)
+    state = {k: v for k, v in head.remembered(10_100.0).items() if k != "lives"}
+    data = memory.packed(memory.Kept("h1", "m", 1.0, 1.0, "b", True, state))
+    kept, *_ = memory.recalled(data, "h1", "m", 5.0, 5.0, "b")
+    later = Head(SAFE, 2, 500.0)
+    later.recall(500.0, kept, 4.0, True)
+    listed(later, 600.0, ("A", 0, 0.0))
+    assert later.mean_ms[0] > 0
+
+
+# ---- what grows
+
+
+def sizes(thing: Any) -> dict[str, int]:
+    return {name: len(value) for name, value in vars(thing).items() if hasattr(value, "__len__")}
+
+
+def test_shelfs_that_never_come_back_leave_nothing() -> None:
+    """Seen: a column's place for each name ever listed, for as long as the head ran."""
+    head, now = Head(SAFE, 1, 0.0), 0.0
+    head.recall(0.0, {"shelfs": {f"old{i}": [1.0, 1.0, 1.0, 1.0, 4.0, -1.0] for i in range(50)}, "thinks": {},
+                      "every": [1.0, 1.0, 1.0, 1.0], "limits": {}, "further": []}, 0.0, False)  # fmt: skip
+    for n in range(400):
+        now += 1000.0
+        listed(head, now, *((f"s{n + i}", i, 0.0) for i in range(8)), kind=ListKind.WHOLE)
+        for slot in range(8):
+            served(head, now, slot, 5.0)
+    head.woken(now + 10_000.0)
+    found = sizes(head)
+    assert max(n for name, n in found.items() if name not in ("takes", "profiles", "plans")) <= 20, found
+    served(head, now, 3, 5.0)
+
+
+def test_a_place_is_not_given_away_while_a_trip_is_out_or_the_name_is_still_listed() -> None:
+    head = Head(SAFE, 1, 0.0)
+    listed(head, 0.0, ("A", 0, 0.0))
+    a = take(head, 0.0, profile="save")
+    head.listed(1.0, ListKind.CHANGES, [Entry("A", Standing.GONE, 0, 0.0)])
+    listed(head, 2.0, ("B", 0, 0.0))
+    assert head.index["A"] != head.index["B"]
+    b = take(head, 3.0)
+    a.ended(4.0, 0, Outcome.BROKEN, False, 4.0)
+    assert head.away[head.index["B"]] == [b]
+    head.listed(5.0, ListKind.CHANGES, [Entry("B", Standing.DRAINING, 0, 0.0)])
+    listed(head, 6.0, ("C", 0, 0.0))
+    assert "B" in head.index and head.names[head.index["C"]] == "C"
+
+
 def test_wakes_are_not_asked_for_by_each_access_that_is_held() -> None:
     """Seen: an entry for every held access and every new time."""
     head = Head(SAFE, 1, 0.0)
@@ -126,6 +264,12 @@
     assert not went(take(head, 100_010.0, plan="capped", units=90.0, volume="new", profile="bulk"))
 
 
+# ---- input that can hurt
+
+
+# ---- a head that starts empty in the middle of a rough day
+
+
 def test_a_head_that_knows_nothing_sends_no_more_than_the_bound_to_each_shelf() -> None:
     head = Head(SAFE, 1, 0.0)
     listed(head, 0.0, *((f"s{i}", i, 0.0) for i in range(5)))
@@ -140,3 +284,25 @@
     head = Head(SAFE, 1, 50_000.0)
     listed(head, 50_000.0, ("A", 0, 0.0))
     assert not went(take(head, 50_000.0, plan="capped", profile="bulk"))
+
+
+@pytest.mark.parametrize("memory_age_ms", [None, 0.0, 600_000.0])
+def test_a_real_head_that_joins_late_keeps_the_rules(memory_age_ms: float | None) -> None:
+    """Shelfs are slow and queues deep; two heads die and come back with no memory, a fresh one, a stale one."""
+    at = "at 1s slow s1 s2 by 4x for 5s\nat 1s burst by 3x for 4s\nat 2s head-crash h1 h2 for 300ms\n"
+    text = BASE.replace("extents 20", "extents 20\nimpatient 20%")
+    config = loads(f"{text}\nday d {{\nlength 6s\n{at}}}\n")
+    village, known = play(config, "d", 5, memory_age_ms=memory_age_ms)
+    day = village.facts()
+    assert not known["faults"] and len(day.tries) > 500
+    assert all(v.kept for v in day.judge().values()), {r: v.offence for r, v in day.judge().items() if not v.kept}
+
+
+def test_memory_of_another_fleet_changes_nothing_for_the_shelfs_that_are_here() -> None:
+    other = Head(SAFE, 1, 10_000.0)
+    listed(other, 10_000.0, ("X", 0, 0.0), ("Y", 1, 0.0))
+    served(other, 10_000.0, 0, 30.0)
+    head = Head(SAFE, 2, 0.0)
+    head.recall(0.0, other.remembered(10_100.0), 500.0, False)
+    listed(head, 0.0, ("A", 0, 0.0))
+    assert head.mean_ms[0] == 0.0 and went(take(head, 1.0, 0))
