A time that is no number is refused at the door, and hurts no other access

Seen: a client's TAKE with a patience of inf or 1e300 raised in _wake (no integer of it), cut its connection with all that was open there, and left the access held with its shelf's line; with nan it was taken and its timer could not be set. Buffered writes raised in call_later. Ruled out: frames (such floats are sound msgpack), the rsync door (its times come from settings). At fault: Core._admit and Back.take looked at everything but the time. Both refuse it now with one plain reason; trying again is harmless. Four tests, failed before.

--- a/pebblehinge/head/core.py
+++ b/pebblehinge/head/core.py
@@ -16,6 +16,7 @@
 from pebblehinge.wire.frames import APPEND, READ, WRITE
 
 HONOURED, PUSHED_BACK, TERMINATED = 0, 1, 2  # the final answers as the wire numbers them
+MOST_LEFT_MS = 1e9  # ms, as long as any time that the settings may state
 FINALS = {Final.PUSHED_BACK: PUSHED_BACK, Final.TERMINATED: TERMINATED}
 
 
@@ -50,6 +51,13 @@
     """An access that can't be given to the module; the text goes to its client."""
 
 
+def odd_time(left_ms: float) -> str:
+    """Why nothing can be asked for in this time: beyond all that settings may state, or a number that is none."""
+    if abs(left_ms) <= MOST_LEFT_MS:
+        return ""
+    return f"{left_ms:g} ms are left: a time of at most {MOST_LEFT_MS:g} is taken"
+
+
 class Core:
     """One running head's books."""
 
@@ -88,7 +96,7 @@
         taken.came_ms, taken.profile, taken.again = now, profile, bool(again)
         self.counts["taken"] += 1
         try:
-            known_plan, set_size = self._admit(taken, plan, profile)
+            known_plan, set_size = self._admit(taken, plan, profile, left_ms)
         except Refusal as refusal:
             # Nothing of it has gone anywhere, so trying again is harmless whatever its profile.
             self.counts["refused"] += 1
@@ -110,7 +118,7 @@
         self._carry_out(changes, now)
         return taken
 
-    def _admit(self, taken: Taken, plan: str | None, profile: str) -> tuple[str, int]:
+    def _admit(self, taken: Taken, plan: str | None, profile: str, left_ms: float) -> tuple[str, int]:
         """The plan and number of heads of an access's volume, or why it can't be taken."""
         config, limits = self.config, self.config.limits
         if self.stopping and not getattr(taken.conn, "inside", False):
@@ -126,6 +134,8 @@
             raise Refusal(f"volume {taken.volume!r} {what}: {plan[:60]!r}")
         if not 0 < taken.units <= config.rules.most_units:
             raise Refusal(f"{taken.units:g} units: at most {config.rules.most_units:g} are taken")
+        if why := odd_time(left_ms):
+            raise Refusal(why)
         if taken.op not in (READ, WRITE, APPEND) or taken.offset < 0 or not 0 <= taken.length <= limits.frame:
             raise Refusal("no read or write of such a place")
         if self.open >= limits.accesses:
--- a/pebblehinge/head/writeback.py
+++ b/pebblehinge/head/writeback.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
-from pebblehinge.head.core import HONOURED, PUSHED_BACK, TERMINATED, Taken
+from pebblehinge.head.core import HONOURED, PUSHED_BACK, TERMINATED, Taken, odd_time
 from pebblehinge.head.inside import FINALS, Inside
 from pebblehinge.store.committer import Committer
 from pebblehinge.store.dirty import Dirty
@@ -89,7 +89,8 @@
         if op not in (WRITE, BARRIER, FLUSH):
             return False
         asked = Asked(conn, id_, slot, trace)
-        why = self._refuses(now, volume, profile, op, offset, units, data)
+        odd = odd_time(left_ms)
+        why = (odd, 0.0) if odd else self._refuses(now, volume, profile, op, offset, units, data)
         if why is not None:
             self.counts["refused"] += 1
             self._answer(asked, PUSHED_BACK, why[1] or self.server.config.rules.stay_away_max, why[0], b"")
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import pytest
+from test_properties import CONFIG, Client, Doing
 from test_rules_can_break import BASE
 from test_scenarios import PLANS, PROFILES, SETTINGS
 
 from pebblehinge.decide import BOUND, REMEMBERED, Access, Head
+from pebblehinge.head import Core
 from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
 from pebblehinge.lab.village import play
 from pebblehinge.settings.load import loads
@@ -267,6 +269,21 @@
 # ---- input that can hurt
 
 
+@pytest.mark.parametrize("left", [float("nan"), float("inf"), 1e300])
+def test_an_access_with_no_sound_time_is_refused_and_hurts_no_other(left: float) -> None:
+    """Seen: one access with a time that is no number made every later call for its shelf fail."""
+    doing = Doing()
+    core = Core(CONFIG, CONFIG.head["h1"], 1000.0, doing)
+    core.listed(1000.0, ListKind.WHOLE, [Entry("s0", Standing.READY, 0, 0.0)])
+
+    def one(id_: int, left_ms: float) -> Any:
+        return core.take(1000.0, Client(), id_, f"t{id_}", "gold-1", None, "look", "x", 0, 1.0, left_ms, None, None, 0,
+                         0, 10, b"")  # fmt: skip
+
+    assert one(1, left) is None and doing.finals[1] == 1
+    assert one(2, 900.0) is not None and [row[0].id for row in doing.out] == [2]
+
+
 # ---- a head that starts empty in the middle of a rough day
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import subprocess
 import sys
@@ -37,6 +38,7 @@
     name_of,
     read_segment,
 )  # fmt: skip
+from pebblehinge.wire import Kind
 
 
 def write(
@@ -329,6 +331,23 @@
 WHERE = {"profile": "save", "slot": 0, "units": 1.0, "patience_ms": 1000.0}
 
 
+def test_a_time_that_is_no_number_is_refused_at_the_door_and_the_connection_goes_on() -> None:
+    """Seen: it cut the connection with all that was open on it, buffered or not."""
+
+    async def script(rig: Rig) -> None:
+        await buffered(rig, OnDisk())
+        client, seen = await rig.client(), []
+        client.noted = lambda event, **values: seen.append((event, values.get("id"), values.get("final")))
+        for n, (volume, left) in enumerate([("b", math.inf), ("b", math.nan), ("v", math.inf), ("v", math.nan)]):
+            rest = (None, "save", "x", 0, 1.0, left, None, None, 1, 0, 1, b"1")
+            client.send(Kind.TAKE, 900 + n, f"t{n}", volume, *rest)
+        await until(lambda: len(seen) == 4)
+        assert seen == [("extra", str(900 + n), "pushed back") for n in range(4)]
+        assert (await client.write("b", "x", b"hello", **WHERE)).honoured
+
+    on_rig(script, BUFFERED)
+
+
 def test_a_write_is_confirmed_from_the_journal_and_read_back_before_it_lands() -> None:
     async def script(rig: Rig) -> None:
         disk = OnDisk()
