What a head keeps of a shelf goes when the module gives its place away

Seen: a link, a line of the console's and a desk of the accounts for each name that was ever listed; 60 names of two at a time left 60 of each. Ruled out: retired links (closed and dropped), viewers. At fault: HeadServer._listed (links only ever added), View.standing, Books.desks. Now they go by the module's own index, which is bounded. Its test failed before. Module and adapter untouched.

--- a/pebblehinge/account/books.py
+++ b/pebblehinge/account/books.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 MOST_PAIRS = 4096
@@ -118,6 +119,11 @@
         """Its trip ended and nothing more is to come."""
         self.where.pop(key, None)
 
+    def keep(self, shelfs: Container[str]) -> None:
+        """Desks of shelfs that nobody knows any more are cleared once they are empty."""
+        for name in [n for n, d in self.desks.items() if n not in shelfs and not d.held and not d.out]:
+            del self.desks[name]
+
     # ---- the arithmetic
 
     def _less(self, desk: Desk, volume: str) -> None:
--- a/pebblehinge/console/view.py
+++ b/pebblehinge/console/view.py
@@ -84,7 +84,7 @@
             if known != row["health"]:
                 if known is not None or row["health"] != "well":
                     self.events.note(now, f"{row['name']}: {known or 'new'} to {row['health']} {row['why']}".strip())
-                self.standing[row["name"]] = row["health"]
+        self.standing = {row["name"]: row["health"] for row in shelfs}
         latency = head.latency
         told: dict[str, Any] = {
             "head": head.name, "version": __version__, "now_ms": round(now, 1), "stopping": core.stopping,
--- a/pebblehinge/head/core.py
+++ b/pebblehinge/head/core.py
@@ -178,6 +178,8 @@
 
     def listed(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
         self._carry_out(self.module.listed(now, kind, entries), now)
+        if self.account is not None:
+            self.account.keep(self.module.index)
 
     def woken(self, now: float) -> None:
         self.wakes += 1
--- a/pebblehinge/head/server.py
+++ b/pebblehinge/head/server.py
@@ -326,6 +326,8 @@
         self.note(now, "listed", kind=kind.value, entries=[(e.shelf, e.standing.value) for e in entries])
         self.log.debug("listed", kind=kind.value, shelfs=len(entries))
         self.core.listed(now, kind, entries)
+        for shelf in [n for n in self.links if n not in self.core.module.index]:
+            self.links.pop(shelf).retire()  # the module has given its place to another name: nothing of it is out
 
     def capture(self, writer: Any) -> None:
         """Keeps what is taken from now on; what stands is written every second."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import pytest
+from helpers import FLEET, Rig, on_rig
 from test_properties import CONFIG, Client, Doing
 from test_rules_can_break import BASE
 from test_scenarios import PLANS, PROFILES, SETTINGS
 
+from pebblehinge.console.view import View
 from pebblehinge.decide import BOUND, REMEMBERED, Access, Head
 from pebblehinge.head import Core
 from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
@@ -284,6 +286,22 @@
     assert one(2, 900.0) is not None and [row[0].id for row in doing.out] == [2]
 
 
+def test_what_a_running_head_keeps_of_a_shelf_goes_when_its_place_does() -> None:
+    """Seen: a link, a line of the console and a desk of the accounts for each name ever listed."""
+
+    async def script(rig: Rig) -> None:
+        head, view = rig.head, View(rig.head)
+        for n in range(60):
+            rows = [Entry(f"n{n + i}", Standing.READY, i, 0.0) for i in range(2)]
+            head._listed(rig.clock(), ListKind.WHOLE, rows, {e.shelf: "127.0.0.1:1" for e in rows})
+            head.core.account.held(rig.clock(), n, "v", f"n{n}", 1.0)
+            head.core.account.over(rig.clock(), n)
+            view.snapshot()
+        assert max(len(head.links), len(view.standing), len(head.core.account.desks)) < 12
+
+    on_rig(script, fleet=FLEET + "head h1 {\naccounts yes\n}\n")
+
+
 # ---- a head that starts empty in the middle of a rough day
 
 
