With no mean known a trip ends when it is due, not when its client leaves

Seen: to a head that started empty, a shelf that swallowed its first trips stayed blind until their clients left (2.5 to 6 s): one that is down gets no trial while trips are out. Ruled out: the silence of _down, which refuses the rest at once but sends nothing new. At fault: _send (mean or infinity).

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -386,7 +386,8 @@
             self.heard_ms[s] = now
         self.away[s].append(a)
         self.last_extent[s] = a.extent
-        past = math.inf if self.dead[s] else self._mean(s, now) * a.size or math.inf
+        # With no mean known it runs until it is due: a shelf that swallows the first trips is soon seen.
+        past = math.inf if self.dead[s] else self._mean(s, now) * a.size
         a.trips.append(Trip(self.names[s], min(a.abandon_ms, max(a.due_ms, now + past))))
         self._wake(now + SILENT_MS + LATENCIES * self._mean(s, now), s)
         self._changed(a)
