--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,150 @@
+"""What one decision costs and what the module holds, at forty and four hundred shelfs (no arguments).
+
+The module alone, with calls and no sockets. Times are of this machine and this hour; the ratios are what counts.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from pebblehinge.decide import Access, Head
+from pebblehinge.interface import Entry, Group, ListKind, Outcome, Plan, Profile, Repeat, Settings, Standing
+
+SETTINGS = Settings(
+    profiles=(Profile("p", 1.0, 60_000.0, 90_000.0, 0.1, Repeat.REDOABLE, Group.ALL, 0.0, False),),
+    plans=(Plan("g", 1e6, 1e6, 0.0, 0.0, 0.0, 1.0, 1.0), Plan("c", 1e6, 0.0, 1e6, 1e6, 0.0, 1.0, 1.0)),
+    mean_units=2.0, most_units=6.0, share_worth=0.3, idle_worth=0.1, asks_for_list=False, marks_repeats=False,
+    may_recall=True, stay_away_max_ms=500.0, try_limit=3, step_ms=1.0, cold_share=0.3, warm_ms=10_000.0,
+    fall_multiple=2.0, order_settle_ms=0.0, budget_share=None, budget_free=0.0, budget_window_ms=5_000.0,
+)  # fmt: skip
+ROUNDS = 2_000
+
+
+def fleet(count: int, first: int = 0) -> list[Entry]:
+    return [Entry(f"s{first + i}", Standing.READY, i, 0.0) for i in range(count)]
+
+
+def head_of(count: int) -> Head:
+    head = Head(SETTINGS, 1, 0.0)
+    head.listed(0.0, ListKind.WHOLE, fleet(count))
+    return head
+
+
+def take(head: Head, now: float, n: int, slot: int, plan: str = "g") -> Access:
+    return head.take(now, n, f"x{n % 3000}", "p", plan, f"v{n % 500}", 2, slot, 2.0, now + 90_000.0)[0]
+
+
+def timed(call: Callable[[], Any], into: list[float]) -> Any:
+    began = time.perf_counter_ns()
+    got = call()
+    into.append((time.perf_counter_ns() - began) / 1000.0)
+    return got
+
+
+def told(times: list[float]) -> tuple[float, float]:
+    return statistics.median(times), sorted(times)[int(0.99 * len(times))]
+
+
+def freed(shelfs: int, held: int) -> tuple[float, float]:
+    """A slot frees at a shelf with so many accesses held: until the next one has left; median and p99, us."""
+    head, now, times = head_of(shelfs), 0.0, []
+    for n in range(shelfs * 8):
+        take(head, now, n, n % shelfs)
+    for n in range(held + 4):
+        take(head, now, n + 7, 0)
+    for n in range(ROUNDS):
+        now += 0.05
+        while len(head.held[0]) < held:
+            take(head, now, n + 11, 0)
+        out = head.away[0][0]
+        timed(lambda a=out, t=now: a.ended(t, a.sent - 1, Outcome.HONOURED, True, 5.0), times)
+    return told(times)
+
+
+def changed(shelfs: int) -> tuple[float, float]:
+    """One entry of the list changes."""
+    head, times, now = head_of(shelfs), [], 0.0
+    for n in range(ROUNDS // 4):
+        now += 10.0
+        standing = Standing.DRAINING if n % 2 else Standing.READY
+        row = [Entry("s3", standing, 3, 0.0)]
+        timed(lambda t=now, r=row: head.listed(t, ListKind.CHANGES, r), times)
+    return told(times)
+
+
+def picked(shelfs: int) -> tuple[float, float]:
+    """A shelf is drawn for a new object."""
+    head, times = head_of(shelfs), []
+    for _ in range(ROUNDS):
+        timed(head._pick_new, times)
+    return told(times)
+
+
+def memory(shelfs: int, extents: int, volumes: int) -> dict[str, float]:
+    """KiB by what it is for, as tracemalloc sees it grow."""
+    tracemalloc.start()
+    found, head, before = {}, Head(SETTINGS, 1, 0.0), 0
+    before = tracemalloc.get_traced_memory()[0]
+
+    def note(what: str) -> None:
+        nonlocal before
+        now = tracemalloc.get_traced_memory()[0]
+        found[what], before = (now - before) / 1024.0, now
+
+    head.listed(0.0, ListKind.WHOLE, fleet(shelfs))
+    note("shelfs")
+    for n in range(volumes):
+        a = head.take(0.0, n, None, "p", "c", f"v{n}", 2, n % shelfs, 2.0, 90_000.0)[0]
+        a.left(0.0)
+        a.ended(0.0, 0, Outcome.RECALLED, True, 1.0)
+    note("volumes")
+    for n in range(extents):
+        for at in (1.0, 3.0, 7.0):
+            a = head.take(at + n, n, f"x{n}", "p", "g", "v0", 2, n % shelfs, 2.0, 90_000.0)[0]
+            a.ended(at + n + 0.5, 0, Outcome.HONOURED, True, 0.5)
+    head.woken(1e6)
+    note("extents")
+    kept = []
+    for n in range(1000):
+        kept.append(head.take(1e6, n, f"x{n % extents}", "p", "g", "v0", 2, 0, 2.0, 1e6 + 90_000.0)[0])
+    note("1000 accesses held")
+    tracemalloc.stop()
+    return found
+
+
+def churned(names: int, shelfs: int = 40) -> dict[str, int]:
+    """What is held after so many names have come and gone."""
+    head, now = Head(SETTINGS, 1, 0.0), 0.0
+    for n in range(names // shelfs):
+        now += 1000.0
+        head.listed(now, ListKind.WHOLE, fleet(shelfs, n * shelfs))
+        for slot in range(shelfs):
+            a = take(head, now, n, slot)
+            a.ended(now + 1.0, 0, Outcome.HONOURED, True, 1.0)
+        head.woken(now + 900.0)
+    return {"columns": len(head.names), "names": len(head.index), "wakes": len(head.wakes)}
+
+
+def main() -> None:
+    print("| | 40 shelfs, us | 400 shelfs, us | ratio | p99 40 | p99 400 |\n| --- | --- | --- | --- | --- | --- |")
+    for what, call in (
+        ("a slot frees, 10 held", lambda n: freed(n, 10)), ("a slot frees, 100 held", lambda n: freed(n, 100)),
+        ("one entry of the list changes", changed), ("a new object is placed", picked),
+    ):  # fmt: skip
+        rows = [call(n) for n in (40, 400, 40, 400, 40, 400)]
+        few, many = min(rows[0::2]), min(rows[1::2])
+        print(f"| {what} | {few[0]:.1f} | {many[0]:.1f} | {many[0] / few[0]:.2f} | {few[1]:.1f} | {many[1]:.1f} |")
+    few, many = memory(40, 400, 40), memory(400, 4000, 400)
+    print("\n| held for | 40 shelfs, 400 extents, 40 volumes, KiB | ten times that, KiB | ratio |")
+    print("| --- | --- | --- | --- |")
+    for what in few:
+        print(f"| {what} | {few[what]:.0f} | {many[what]:.0f} | {many[what] / max(1e-9, few[what]):.1f} |")
+    print(f"\nAfter 400 names: {churned(400)}; after 4,000: {churned(4_000)}.")
+
+
+if __name__ == "__main__":
+    main()
