--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -133,6 +133,17 @@
     assert head.cold_ms[0] == 9_000.0 and not head.dead[0]
 
 
+def test_of_many_heads_that_could_not_reach_a_shelf_few_try_it_together() -> None:
+    """Each sends one trip at a time to a dead shelf; a hundred heads would still push over one that has just started."""
+    tried = 0
+    for seed in range(100):
+        head = Head(replace(SAFE, warm_ms=10_000.0, cold_share=0.02, fall_multiple=1.0), seed, 0.0)
+        listed(head, 0.0, ("A", 0, 0.0))
+        take(head, 0.0).ended(1.0, 0, Outcome.UNREACHED, False, 1.0)
+        tried += went(take(head, 300.0))
+    assert 0 < tried < 30
+
+
 def test_memory_of_a_former_process_or_slot_is_not_taken_up() -> None:
     head = Head(SAFE, 1, 10_000.0)
     listed(head, 10_000.0, ("A", 0, 8_000.0), ("B", 1, 0.0), ("C", 2, 0.0))
