--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -134,7 +134,7 @@
 
 
 def test_of_many_heads_that_could_not_reach_a_shelf_few_try_it_together() -> None:
-    """Each sends one trip at a time to a dead shelf; a hundred heads would still push over one that has just started."""
+    """Each sends one trip at a time to a dead shelf; a hundred would still push over one just started."""
     tried = 0
     for seed in range(100):
         head = Head(replace(SAFE, warm_ms=10_000.0, cold_share=0.02, fall_multiple=1.0), seed, 0.0)
