--- a/pebblehinge/agreed/activation.py
+++ b/pebblehinge/agreed/activation.py
@@ -128,5 +128,3 @@
                 f"limit is {plan.limit:g} and {plan.burst + plan.slack:g}"
             )
     return None
-
-
--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -713,12 +713,15 @@
         self.index[entry.shelf] = s
         for column, value in (
             (self.names, entry.shelf), (self.ready, False), (self.slots, entry.slot), (self.started, 0.0),
-            (self.cold_ms, None), (self.held, []), (self.away, []),
-            (self.width, float(BOUND)), (self.bound, BOUND), (self.waits, []), (self.last_extent, None),
-            (self.plain_ms, 0.0), (self.run_ms, 0.0), (self.mean_ms, 0.0), (self.seen_ms, -math.inf),
-            (self.heard_ms, now), (self.lost, 0), (self.dead, False), (self.trial_ms, now),
+            (self.cold_ms, None), (self.held, []), (self.away, []), (self.waits, []),
         ):  # fmt: skip
             column[s : s + 1] = [value]
+        for learned in (
+            self.width, self.bound, self.last_extent, self.plain_ms, self.run_ms, self.mean_ms, self.seen_ms,
+            self.heard_ms, self.lost, self.dead, self.trial_ms,
+        ):  # fmt: skip
+            learned[s : s + 1] = [None]
+        self._forget(s, now)
         if entry.shelf in self.past:
             plain, run, mean, seen, width, cold, then, left, slot, since = self.past.pop(entry.shelf)
             self.slots[s] = slot if slot >= 0 else entry.slot
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -158,7 +158,7 @@
     assert means["A"] == means["B"] == 0.0 < means["C"]
 
 
-def test_memory_of_before_this_was_kept_is_still_taken_up(tmp_path: Any) -> None:
+def test_memory_of_before_this_was_kept_is_still_taken_up() -> None:
     head = Head(SAFE, 1, 10_000.0)
     listed(head, 10_000.0, ("A", 0, 0.0))
     served(head, 10_000.0, 0, 30.0)
