--- a/benchmarks/head_cost.py
+++ b/benchmarks/head_cost.py
@@ -22,7 +22,7 @@
 import uvloop
 
 from pebblehinge.cli import clock_of
-from pebblehinge.head import Core, HeadServer
+from pebblehinge.head import HeadCore, HeadServer
 from pebblehinge.interface import Changes, Outcome, Trip
 from pebblehinge.lab.village import Quiet
 from pebblehinge.listing import ListingServer
@@ -119,7 +119,7 @@
         return handle, Changes([handle])
 
 
-class PassThrough(Core):
+class PassThrough(HeadCore):
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.module = NoModule()
@@ -232,7 +232,8 @@
     config = settings(count, loopback)
 
     async def make(loop: Any) -> None:
-        server = HeadServer(loop, clock_of(loop), config, "h1", Quiet(), core=Core if what == "real" else PassThrough)
+        kind = HeadCore if what == "real" else PassThrough
+        server = HeadServer(loop, clock_of(loop), config, "h1", Quiet(), core=kind)
         await server.start()
         while len(server.core.module.at_slot) < count:
             await asyncio.sleep(0.01)
--- a/pebblehinge/head/inside.py
+++ b/pebblehinge/head/inside.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from pebblehinge.head.core import Taken
+from pebblehinge.core import Taken
 
 if TYPE_CHECKING:
     from pebblehinge.head.server import HeadServer
--- a/pebblehinge/head/link.py
+++ b/pebblehinge/head/link.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from pebblehinge.head.core import Taken
+from pebblehinge.core import Taken
 from pebblehinge.interface import Outcome
 from pebblehinge.net import Peer, parse_address
 from pebblehinge.settings.schema import LimitsBlock
--- a/pebblehinge/head/server.py
+++ b/pebblehinge/head/server.py
@@ -9,7 +9,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from pebblehinge.head.core import HONOURED, Core, Taken
+from pebblehinge.core import HONOURED, Taken
+from pebblehinge.head.admission import HeadCore
 from pebblehinge.head.door import Door
 from pebblehinge.head.inside import FINALS
 from pebblehinge.head.link import ShelfLink
@@ -126,7 +127,7 @@
         name: str,
         log: Any,
         records: Records | NoRecords | None = None,
-        core: type[Core] = Core,
+        core: type[HeadCore] = HeadCore,
     ) -> None:
         self.loop, self.clock, self.config, self.name, self.log = loop, clock, config, name, log
         self.block: HeadBlock = config.head[name]
@@ -343,7 +344,7 @@
         """New settings from the same file; addresses stay as they were until a restart."""
         self.config = config
         self.now = self.clock()
-        self.core.adopt(self.now, config)
+        self.core.take_up(self.now, config)
         if self.door is not None:
             self.door.adopt(config)
 
--- a/pebblehinge/head/writeback.py
+++ b/pebblehinge/head/writeback.py
@@ -10,7 +10,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
-from pebblehinge.head.core import HONOURED, PUSHED_BACK, TERMINATED, Taken, odd_time
+from pebblehinge.core import HONOURED, PUSHED_BACK, TERMINATED, Taken
+from pebblehinge.head.admission import odd_time
 from pebblehinge.head.inside import FINALS, Inside
 from pebblehinge.store.committer import Committer
 from pebblehinge.store.dirty import Dirty
--- /dev/null
+++ b/pebblehinge/http1/__init__.py
@@ -0,0 +1,18 @@
+"""HTTP/1.1 messages out of bytes and back, both directions. No I/O, no clock, no decisions."""
+
+from pebblehinge.http1.messages import (
+    BODY_LIMIT,
+    HttpError,
+    Request,
+    Requests,
+    Response,
+    Responses,
+    Stream,
+    write_answer,
+    write_request,
+)
+
+__all__ = [
+    "BODY_LIMIT", "HttpError", "Request", "Requests", "Response", "Responses", "Stream", "write_answer",
+    "write_request",
+]  # fmt: skip
--- /dev/null
+++ b/pebblehinge/http1/messages.py
@@ -0,0 +1,287 @@
+"""Whole messages out of bytes in any pieces, on llhttp's strict grammar, and the bytes of our own messages.
+
+A reader stops at a message's end and keeps what follows. llhttp bounds nothing and judges lengths leniently in
+places: bytes of the head, count of headers, body, and how a body's length is told are looked at here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import httptools
+
+HEAD_LIMIT = 16 * 1024  # bytes of a head, from its first byte, and of trailers
+HEADERS_LIMIT = 64
+BODY_LIMIT = 64 * 1024  # bytes, as the platform's protocol states
+CHUNKED_LIMIT = 8 * BODY_LIMIT  # bytes of a chunked body with all its framing: chunks of one byte cost five more
+INFORMATIONAL_LIMIT = 8  # 1xx answers passed over in front of one answer
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
+}  # fmt: skip
+
+
+class HttpError(Exception):
+    """A message that can't be read further; `status` is what its sender may be told."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class _Message:
+    """One whole message. Names of headers are in small letters, values as they came."""
+
+    __slots__ = ("headers", "body", "keep_alive")
+
+    def __init__(self, headers: list[tuple[bytes, bytes]], body: bytes, keep_alive: bool) -> None:
+        self.headers, self.body, self.keep_alive = headers, body, keep_alive
+
+    def all(self, name: bytes) -> list[bytes]:
+        return [v for n, v in self.headers if n == name]
+
+
+class Request(_Message):
+    __slots__ = ("method", "target", "version")
+
+    method: bytes
+    target: bytes
+    version: str
+
+
+class Response(_Message):
+    __slots__ = ("status",)
+
+    status: int
+
+
+class _Reader:
+    """What both directions share: pieces are handed to the parser so that none goes past a message's end."""
+
+    __slots__ = (
+        "buffer", "parser", "headers", "parts", "size", "head", "tail", "length", "chunked", "began", "done", "keeps",
+        "fault", "wire",
+    )  # fmt: skip
+
+    def __init__(self, parser: Callable[[object], object]) -> None:
+        self.buffer = b""
+        self.parser = parser(self)
+        self._renew()
+
+    def _renew(self) -> None:
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.parts: list[bytes] = []
+        self.size = self.head = self.wire = 0
+        self.tail = b""
+        self.length = -1  # of the body; -1 until the head is whole
+        self.chunked = self.began = self.done = self.keeps = False
+        self.fault: tuple[int, str] | None = None
+
+    @property
+    def partial(self) -> bool:
+        """Part of a message has come, and not all of it."""
+        return self.head > 0 or bool(self.buffer)
+
+    def feed(self, data: bytes) -> None:
+        self.buffer = self.buffer + data if self.buffer else data
+
+    def _next(self) -> bool:
+        """Reads on to the end of one message, if it is there; raises HttpError where it can't be read."""
+        while self.buffer:
+            heading, cut = self.length < 0, self._cut()
+            piece, self.buffer = self.buffer[:cut], self.buffer[cut:]
+            try:
+                self.parser.feed_data(piece)
+            except httptools.HttpParserUpgrade:
+                self.fault = self.fault or (400, "no other protocol is spoken here")
+            except httptools.HttpParserError as error:
+                self.fault = self.fault or (400, f"not HTTP/1.1: {str(error)[:80]}")
+            if self.fault is None:
+                self._bound(len(piece), heading)
+            if self.fault is not None:
+                self.buffer = b""
+                raise HttpError(*self.fault)
+            if self.done:
+                return True
+        return False
+
+    def _cut(self) -> int:
+        """How much of the buffer can't go past the end of this message."""
+        buffer = self.buffer
+        if self.length < 0:  # in the head
+            known = len(self.tail)
+            at = (self.tail + buffer).find(b"\r\n\r\n")
+            cut = len(buffer) if at < 0 else at + 4 - known
+            self.tail = (self.tail + buffer[:cut])[-3:]
+            return cut
+        if self.chunked:  # a message's end is a line's end
+            at = buffer.find(b"\n")
+            return len(buffer) if at < 0 else at + 1
+        return self.length - self.size
+
+    def _bound(self, count: int, heading: bool) -> None:
+        if heading:
+            self.head += count
+            if self.head > HEAD_LIMIT:
+                self.fault = (431, f"a head of more than {HEAD_LIMIT} bytes")
+        elif self.chunked:
+            self.wire += count
+            if self.wire > CHUNKED_LIMIT:
+                self.fault = (413, f"a body of more than {CHUNKED_LIMIT} bytes with its framing")
+
+    def _frame(self, bodyless: bool) -> None:
+        """How the body's length is told; two ways at once may hide a message in another."""
+        lengths = [v for n, v in self.headers if n == b"content-length"]
+        codings = [v for n, v in self.headers if n == b"transfer-encoding"]
+        self.length = 0
+        if len(lengths) + len(codings) > 1:
+            self.fault = (400, "the body's length is told twice")
+        elif codings:
+            self.chunked = codings[0].strip().lower() == b"chunked"
+            if not self.chunked or bodyless:
+                self.fault = (400, "a transfer coding that is not taken here")
+        elif lengths:
+            if not lengths[0].isdigit() or len(lengths[0]) > 15:
+                self.fault = (400, "a content length that is no plain number")
+            else:
+                self.length = int(lengths[0])
+                if self.length > self.most():
+                    self.fault = (413, f"a body of more than {BODY_LIMIT} bytes")
+
+    def most(self) -> int:
+        return BODY_LIMIT
+
+    # ---- what the parser calls
+
+    def on_message_begin(self) -> None:
+        if self.began and self.fault is None:
+            self.fault = (400, "a message within a message")
+        self.began = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.length >= 0:  # a trailer
+            self.head += len(name) + len(value)
+            if self.head > HEAD_LIMIT and self.fault is None:
+                self.fault = (431, f"trailers of more than {HEAD_LIMIT} bytes")
+        elif len(self.headers) < HEADERS_LIMIT:
+            self.headers.append((name.lower(), value))
+        elif self.fault is None:
+            self.fault = (431, f"more than {HEADERS_LIMIT} headers")
+
+    def on_body(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.size > BODY_LIMIT:
+            self.fault = self.fault or (413, f"a body of more than {BODY_LIMIT} bytes")
+        else:
+            self.parts.append(data)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+        self.keeps = self.parser.should_keep_alive()
+
+
+class Requests(_Reader):
+    """Requests out of what a client sends."""
+
+    __slots__ = ("target", "told")
+
+    def __init__(self) -> None:
+        self.target = b""
+        self.told = False  # the client asked whether to go on, and waits
+        super().__init__(httptools.HttpRequestParser)
+
+    def next(self) -> Request | None:
+        """The next whole request, or None until more has come; raises HttpError."""
+        if not self._next():
+            return None
+        request = Request(self.headers, b"".join(self.parts), self.keeps)
+        request.method, request.target = self.parser.get_method(), self.target
+        request.version = self.parser.get_http_version()
+        self.target, self.told = b"", False
+        self._renew()
+        return request
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_headers_complete(self) -> None:
+        old = self.parser.get_http_version() != "1.1"
+        self._frame(old)
+        if self.fault is None and not old:
+            self.told = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
+
+
+class Responses(_Reader):
+    """Answers out of what a shelf sends; 1xx in front are passed over."""
+
+    __slots__ = ("passed",)
+
+    def __init__(self) -> None:
+        self.passed = 0
+        super().__init__(httptools.HttpResponseParser)
+
+    def next(self) -> Response | None:
+        """The answer once it is whole, or None until more has come; raises HttpError."""
+        while self._next():
+            status = self.parser.get_status_code()
+            response = Response(self.headers, b"".join(self.parts), self.keeps)
+            self._renew()
+            if status >= 200:
+                response.status, self.passed = status, 0
+                return response
+            self.passed += 1
+            if self.passed > INFORMATIONAL_LIMIT:
+                raise HttpError(502, f"more than {INFORMATIONAL_LIMIT} answers in front of one")
+        return None
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        bodyless = status < 200 or status in (204, 304)
+        self._frame(bodyless)
+        if self.fault is None and bodyless:
+            self.length = 0
+        elif self.fault is None and not self.chunked and not any(n == b"content-length" for n, _ in self.headers):
+            # It would end with its connection: what a broken one left out could not be told from the whole.
+            self.fault = (502, "an answer that does not tell its length")
+
+
+class Stream(Responses):
+    """One answer without end: its body is handed on as it comes, and the head's status once it is there."""
+
+    __slots__ = ("sink",)
+
+    def __init__(self, sink: Callable[[bytes], None]) -> None:
+        self.sink = sink
+        super().__init__()
+
+    def most(self) -> int:
+        return 2**40
+
+    @property
+    def status(self) -> int:
+        """Of the answer whose head is whole, else 0."""
+        return self.parser.get_status_code() if self.length >= 0 else 0
+
+    def on_body(self, data: bytes) -> None:
+        self.size += len(data)
+        self.sink(data)
+
+    def _bound(self, count: int, heading: bool) -> None:
+        if heading:
+            super()._bound(count, heading)
+
+
+def write_request(method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+    """A request up to where its last headers go: the caller ends the head itself."""
+    lines = [method + b" " + target + b" HTTP/1.1\r\n"]
+    lines += [name + b": " + value + b"\r\n" for name, value in headers]
+    if body or method != b"GET":
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+    return b"".join(lines)
+
+
+def write_answer(status: int, body: bytes, keep_alive: bool, extra: bytes = b"") -> bytes:
+    """An answer, whole; `extra` are further lines of its head."""
+    reason = REASONS.get(status, "").encode()
+    close = b"" if keep_alive else b"Connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b" % (status, reason, len(body), close, extra, body)
--- a/pebblehinge/lab/village.py
+++ b/pebblehinge/lab/village.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from pebblehinge.capture import CaptureWriter
-from pebblehinge.head import Core, HeadServer
+from pebblehinge.head import HeadCore, HeadServer
 from pebblehinge.lab.check import Day
 from pebblehinge.lab.clients import Crowd
 from pebblehinge.lab.copies import Copies
@@ -74,7 +74,7 @@
         day: str,
         seed: int,
         said: Callable[[str], None] = lambda line: None,
-        head_core: type[Core] = Core,
+        head_core: type[HeadCore] = HeadCore,
         head_config: Config | None = None,
         draw: Any = None,
         fleet_seed: int | None = None,
--- a/pebblehinge/wirehost/codec.py
+++ b/pebblehinge/wirehost/codec.py
@@ -7,19 +7,8 @@
 
 import msgspec
 
-from pebblehinge.interface import (
-    Entry,
-    Final,
-    Group,
-    ListCall,
-    ListKind,
-    Outcome,
-    Plan,
-    Profile,
-    Repeat,
-    Settings,
-    Standing,
-)
+from pebblehinge import stated
+from pebblehinge.interface import Entry, Final, ListCall, ListKind, Outcome, Settings
 
 OUTCOMES = {
     "completed": Outcome.HONOURED,
@@ -31,15 +20,12 @@
     "recalled": Outcome.RECALLED,
     "superseded": Outcome.MOOT,
 }
-STANDINGS = {"Ready": Standing.READY, "Terminating": Standing.DRAINING, "Gone": Standing.GONE}
 KINDS = {
     "delta": ListKind.CHANGES,
     "full": ListKind.WHOLE,
     "cached": ListKind.CACHED,
     "failed": ListKind.FAILED,
 }
-REPEATS = {"safe": Repeat.REDOABLE, "keyed": Repeat.LABELLED, "unsafe": Repeat.IRREVERSIBLE}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 REPEAT_BIT = 2  # of an ARRIVAL's options
 CALLS = {ListCall.WATCH: "LISTEN 1"}
 
@@ -117,7 +103,7 @@
         ("generation_hw", anything),
         ("shelf", name),
         ("born_s", millis_or_0),
-        ("status", one_of(STANDINGS)),
+        ("status", one_of(stated.STANDINGS)),
         ("pod", whole),
         ("capacity_hint", number_or_0),
         ("campus", anything),
@@ -207,95 +193,11 @@
     return f"NOT_NOW {tid} {seconds(stay_away_ms)}" if stay_away_ms > 0 else f"NOT_NOW {tid} -"
 
 
-class _Reader:
-    """Takes values out of the settings; a missing key or a wrong kind is named by its place."""
-
-    def __init__(self, raw: Any, place: str) -> None:
-        if not isinstance(raw, dict):
-            raise WireError(f"settings: {place or 'the whole'} is no object: expected named values")
-        self.raw, self.place = raw, place
-
-    def get(self, key: str, kind: type, default: Any = None, scale: float = 1.0) -> Any:
-        where = f"{self.place}.{key}" if self.place else key
-        if key not in self.raw:
-            if default is not None:
-                return default
-            raise WireError(f"settings: {where} is missing: expected {kind.__name__}")
-        try:
-            value = msgspec.convert(self.raw[key], kind)
-        except msgspec.ValidationError as error:
-            raise WireError(f"settings: {where}: {error}") from None
-        return value * scale if kind is float else value
-
-    def word(self, key: str, words: dict[str, Any], default: str | None = None) -> Any:
-        value = self.get(key, str, default)
-        if value not in words:
-            raise WireError(f"settings: {self.place}.{key} is {value!r}: expected one of {', '.join(words)}")
-        return words[value]
-
-    def sub(self, key: str) -> _Reader:
-        return _Reader(self.get(key, dict), f"{self.place}.{key}" if self.place else key)
-
-    def rows(self, key: str) -> list[_Reader]:
-        rows = self.get(key, list)
-        return [_Reader(row, f"{key}[{i}]") for i, row in enumerate(rows)]
-
-
 def read_settings(text: str) -> Settings:
     """The settings of an instance, from the object that HELLO holds."""
     try:
-        env = _Reader(msgspec.json.decode(text), "")
+        return stated.read_settings(msgspec.json.decode(text))
     except msgspec.DecodeError as error:
         raise WireError(f"HELLO: env: {error}: expected a JSON object") from None
-    caps, rules, info = env.sub("ceilings"), env.sub("rules"), env.sub("family_info")
-    habits = _Reader(env.get("client_habits", dict, {}), "client_habits")
-    ms = 1000.0
-    budget = "repeat_ratio" in rules.raw or "min_extra" in rules.raw
-    profiles = tuple(
-        Profile(
-            name=row.get("name", str),
-            importance=row.get("points", float),
-            expected_ms=row.get("on_time_s", float, scale=ms),
-            patience_ms=row.get("give_up_s", float, scale=ms),
-            late_share=row.get("late_worth", float, 0.0),
-            repeat=row.word("effect", REPEATS),
-            group=row.word("group", GROUPS, "all"),
-            window_ms=row.get("repeat_window_s", float, 0.0, scale=ms),
-            in_order=row.get("sequential", bool, False),
-        )
-        for row in env.rows("classes")
-    )
-    plans = tuple(
-        Plan(
-            name=row.get("name", str),
-            rate=row.get("base_rate", float),
-            reserve=row.get("reserve", float, 0.0),
-            limit_rate=row.get("ceiling_rate", float, 0.0),
-            limit_burst=row.get("limit_burst", float, 0.0),
-            limit_slack=row.get("cap_slack", float, 0.0),
-            weight=row.get("proportion", float, 1.0),
-            worth_factor=row.get("worth_factor", float, 1.0),
-        )
-        for row in env.rows("service_levels")
-    )
-    return Settings(
-        profiles=profiles,
-        plans=plans,
-        mean_units=info.get("mean_units", float),
-        most_units=info.get("most_units", float),
-        share_worth=info.get("within_share", float),
-        idle_worth=info.get("idle_worth", float),
-        asks_for_list=env.word("membership_mode", {"push": False, "ask": True}),
-        marks_repeats=habits.get("marks_retry", bool, False),
-        may_recall=caps.get("cancel", bool),
-        stay_away_max_ms=caps.get("max_retry_after_s", float, 0.0, scale=ms) * caps.get("retry_after", bool),
-        try_limit=caps.get("try_limit", int),
-        step_ms=env.get("step_s", float, scale=ms),
-        cold_share=rules.get("cold_share", float),
-        warm_ms=rules.get("warm_after_s", float, scale=ms),
-        fall_multiple=rules.get("fall_multiple", float),
-        order_settle_ms=rules.get("order_settle_s", float, 0.0, scale=ms),
-        budget_share=rules.get("repeat_ratio", float) if budget else None,
-        budget_free=rules.get("min_extra", float) if budget else 0.0,
-        budget_window_ms=rules.get("look_back_s", float, scale=ms) if budget else 0.0,
-    )
+    except stated.StatedError as error:
+        raise WireError(str(error)) from None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,7 +11,7 @@
 
 from pebblehinge.cli import clock_of
 from pebblehinge.client import Client, connect
-from pebblehinge.head import Core, HeadServer
+from pebblehinge.head import HeadCore, HeadServer
 from pebblehinge.lab.village import Quiet
 from pebblehinge.listing import ListingServer
 from pebblehinge.net import Peer, parse_address
@@ -191,7 +191,7 @@
         self.head: HeadServer
         self.clients: list[Client] = []
 
-    async def start(self, core: type[Core] = Core) -> Rig:
+    async def start(self, core: type[HeadCore] = HeadCore) -> Rig:
         await self.listing.start()
         for shelf in self.shelfs:
             await shelf.start()
@@ -200,7 +200,7 @@
         await self.start_head(core)
         return self
 
-    async def start_head(self, core: type[Core] = Core) -> None:
+    async def start_head(self, core: type[HeadCore] = HeadCore) -> None:
         self.head = HeadServer(self.loop, self.clock, self.config, "h1", Quiet(), core=core)
         await self.head.start()
         await until(lambda: len(self.head.core.module.at_slot) == len(self.shelfs))
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -13,7 +13,7 @@
 
 from pebblehinge.console.view import View
 from pebblehinge.decide import BOUND, REMEMBERED, Access, Head
-from pebblehinge.head import Core
+from pebblehinge.head import HeadCore
 from pebblehinge.interface import Changes, Entry, ListKind, Outcome, Standing
 from pebblehinge.lab.village import play
 from pebblehinge.settings.load import loads
@@ -286,7 +286,7 @@
 def test_an_access_with_no_sound_time_is_refused_and_hurts_no_other(left: float) -> None:
     """Seen: one access with a time that is no number made every later call for its shelf fail."""
     doing = Doing()
-    core = Core(CONFIG, CONFIG.head["h1"], 1000.0, doing)
+    core = HeadCore(CONFIG, CONFIG.head["h1"], 1000.0, doing)
     core.listed(1000.0, ListKind.WHOLE, [Entry("s0", Standing.READY, 0, 0.0)])
 
     def one(id_: int, left_ms: float) -> Any:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -1,5 +1,5 @@
 """Each of the seven rules, and that no access goes to a shelf without its data, as a property over runs of events from
-fixed seeds, on the module's real `Head`; and what a head's `Core` must keep, on runs of its own.
+fixed seeds, on the module's real `Head`; and what a head's `HeadCore` must keep, on runs of its own.
 
 A run is a list of plain events (who, what, with numbers drawn beforehand), so a failing one can be cut down by leaving
 events out. `World` plays it on several heads of one fleet: clients come and leave, shelfs restart, drain, move and
@@ -20,7 +20,7 @@
 from test_rules_can_break import BASE
 
 from pebblehinge.decide import Access, Head
-from pebblehinge.head import Core
+from pebblehinge.head import HeadCore
 from pebblehinge.interface import Changes, Entry, Final, ListKind, Outcome, Standing
 from pebblehinge.lab.check import RULES, Day
 from pebblehinge.settings import Config
@@ -472,7 +472,7 @@
         self.faults.append("a list that is pushed was asked for")
 
 
-def through_the_core(seed: int, kind: type[Core]) -> tuple[list[str], Core, Doing]:
+def through_the_core(seed: int, kind: type[HeadCore]) -> tuple[list[str], HeadCore, Doing]:
     """One run of a head's core; what is wrong with it."""
     rng, doing, now, left = random.Random(f"{seed}/core"), Doing(), 1000.0, set()
     core = kind(CONFIG, CONFIG.head["h1"], now, doing)
@@ -525,7 +525,7 @@
             kind_ = rng.choice((ListKind.WHOLE, ListKind.CHANGES))
             core.listed(now, kind_, [e for e in truth if e.standing is not Standing.GONE])
         else:
-            core.adopt(now, CONFIG)
+            core.take_up(now, CONFIG)
     pass_until(now + 5000.0)
     told = {i: doing.finals[i] for i in range(1, count + 1)}
     faults = doing.faults + [f"{i}: {n} answers" for i, n in told.items() if n != (i not in left)]
@@ -537,7 +537,7 @@
 def test_the_core_answers_each_access_once_and_keeps_nothing_of_it() -> None:
     met: Counter[str] = Counter()
     for seed in range(RUNS):
-        faults, core, _ = through_the_core(seed, Core)
+        faults, core, _ = through_the_core(seed, HeadCore)
         assert not faults, f"seed {seed}: {faults}"
         met.update({k: n for k, n in core.counts.items()})
         met.update({o.value: n for o, n in core.outcomes.items()})
@@ -546,7 +546,7 @@
 
 
 def test_a_core_that_keeps_what_is_over_is_caught() -> None:
-    class Keeps(Core):
+    class Keeps(HeadCore):
         def _forget(self, taken: Any) -> None:
             if taken.key % 7:
                 super()._forget(taken)
