--- a/pebblehinge/service/clients.py
+++ b/pebblehinge/service/clients.py
@@ -263,6 +263,7 @@
         self.count = 0
         self.refused = 0
         self.leaving = False  # every answer ends its connection
+        self.ends_ms = float("inf")  # by then all that is taken must have its answer
 
     def stands(self, conn: ClientConn, book: dict[ClientConn, None]) -> None:
         if conn.shelved is not None:
@@ -284,7 +285,7 @@
         self.stands(conn, self.busy)
         owner.core.counts["taken"] += 1
         # It may have waited here unread for as long as the loop is late.
-        abandon = now - owner.late_ms + asked.patience_ms - self.MARGIN_MS
+        abandon = min(now - owner.late_ms + asked.patience_ms - self.MARGIN_MS, self.ends_ms)
         again = asked.again if owner.config.settings.marks_repeats else None
         owner.core.accept(
             now, taken, asked.extent, asked.profile, asked.plan, asked.set_size, asked.slot, abandon, again
@@ -309,7 +310,8 @@
                 conn.refuse(408, "the request did not come whole in time")
             else:
                 conn.close()
-        while self.idle and now - next(iter(self.idle)).since > self.IDLE_MS:
+        # While the head leaves, none can come back that is sent away: idle ones stay to the end.
+        while self.ends_ms > 1e18 and self.idle and now - next(iter(self.idle)).since > self.IDLE_MS:
             next(iter(self.idle)).close()
         for conn in [c for c in self.closing if now - c.since > self.CLOSE_MS]:
             conn.transport.abort()
--- a/pebblehinge/service/server.py
+++ b/pebblehinge/service/server.py
@@ -28,8 +28,12 @@
 OWN_SOCKETS = 24  # descriptors of the process itself, discovery's connections among them
 SHELF_PART = 3 / 8  # of the descriptors, for connections to shelfs
 KNOWN_MS = 500.0  # so long a list from the configuration waits to be overtaken by a told one
-LINGER_S = 0.5  # after SIGTERM new connections still come
-END_MS = 650.0  # past the longest patience, after SIGTERM, all is over
+# After SIGTERM clients go on using the connections they have while those stay open, and the process is killed no
+# earlier than the longest patience, of at most 3 s, and 0.7 s on top. Until shortly before that it serves them.
+MOST_PATIENCE_MS, KILL_MS = 3000.0, 700.0
+CLOSING_MS = 500.0  # before the kill, connections with nothing open are closed
+ANSWERED_MS = 120.0  # before the kill, all that was taken has its answer
+SUMS_S = 5.0  # between lines of the log that say what has passed
 MOST_LINES = 2000  # of the log, so that it can't grow for ever
 
 
@@ -61,15 +65,16 @@
         self.wake_ms = float("inf")
         self.listening: socket.socket | None = None
         self.stopped: asyncio.Future[None] = loop.create_future()
-        self.left_ms = 0.0  # when SIGTERM came
+        self.left_ms = self.kill_ms = 0.0  # when SIGTERM came, and when the process may be killed
         self.accepting: set[asyncio.Task[None]] = set()
+        self.summed: dict[str, int] = {}
         self.limit()
 
     def say(self, what: str, **facts: object) -> None:
         """A line of the log."""
         self.lines += 1
         if self.lines <= MOST_LINES:
-            more = "".join(f" {k}={str(v)[:300]!r}" for k, v in facts.items())
+            more = "".join(f" {k.replace(' ', '-')}={str(v)[:300]!r}" for k, v in facts.items())
             print(f"pebblehinge {self.config.name} {(self.clock() - self.born) / 1000.0:.3f} {what}{more}",
                   file=sys.stderr, flush=True)  # fmt: skip
 
@@ -97,6 +102,7 @@
         self.loop.add_reader(listening.fileno(), self._accept)
         self.loop.call_later(LOOK_S, self._look)
         self.loop.call_later(TICK_S, self._tick, self.loop.time() + TICK_S)
+        self.loop.call_later(SUMS_S, self._sum_again)
         gc.collect()
         gc.freeze()
 
@@ -124,15 +130,17 @@
         self.say("a new configuration is in force")
 
     def leave(self) -> None:
-        """SIGTERM: what comes is served a little longer, each answer ends its connection, then all ends."""
+        """SIGTERM: connections that are open are served on for as long as there is time to answer, then closed."""
         if self.left_ms:
             return
         self.left_ms = self.clock()
-        self.door.leaving = True
+        self.kill_ms = self.left_ms + min(MOST_PATIENCE_MS, self.config.longest_ms) + KILL_MS
+        self.door.ends_ms = self.kill_ms - ANSWERED_MS
         self.say("leaving", open=self.core.open)
-        self.loop.call_later(LINGER_S, self._close_door)
+        self.loop.call_later((self.kill_ms - CLOSING_MS - self.left_ms) / 1000.0, self._close_door)
 
     def _close_door(self) -> None:
+        self.door.leaving = True
         if self.listening is not None:
             self.loop.remove_reader(self.listening.fileno())
             self.listening.close()
@@ -142,13 +150,28 @@
 
     def _end_if_done(self) -> None:
         waits = self.door.busy or self.door.closing or self.door.fresh or self.accepting
-        if waits and self.clock() - self.left_ms < self.config.longest_ms + END_MS:
+        if waits and self.clock() < self.kill_ms - ANSWERED_MS / 4:
             self.loop.call_later(TICK_S, self._end_if_done)
         elif not self.stopped.done():
+            self._sum()
             self.watch.stop()
             self.shelfs.stop()
             self.stopped.set_result(None)
 
+    def _sum(self) -> None:
+        """A line on what has passed since the last."""
+        core, door = self.core, self.door
+        sums = {**core.counts, **{o.value: n for o, n in core.outcomes.items()}, **core.reasons, "errors": door.refused}
+        new = {k: n - self.summed.get(k, 0) for k, n in sums.items() if n != self.summed.get(k, 0)}
+        self.summed = sums
+        if new:
+            self.say("passed", **new, open=core.open, out=self.shelfs.out, clients=door.count,
+                     shelf_connections=self.shelfs.connections, late_ms=round(self.late_ms, 1))  # fmt: skip
+
+    def _sum_again(self) -> None:
+        self.loop.call_later(SUMS_S, self._sum_again)
+        self._sum()
+
     # ---- clients come in
 
     def _accept(self) -> None:
