--- a/pebblehinge/http1/messages.py
+++ b/pebblehinge/http1/messages.py
@@ -12,8 +12,9 @@
 
 HEAD_LIMIT = 16 * 1024  # bytes of a head, from its first byte, and of trailers
 HEADERS_LIMIT = 64
-BODY_LIMIT = 64 * 1024  # bytes, as the platform's protocol states
-CHUNKED_LIMIT = 8 * BODY_LIMIT  # bytes of a chunked body with all its framing: chunks of one byte cost five more
+BODY_LIMIT = 64 * 1024  # bytes of a request's body, as the platform's protocol states
+ANSWER_LIMIT = 1024 * 1024  # bytes of an answer's: shelfs in service send more than the protocol says
+FRAMING = 8  # times the most bytes of a body may come with its chunks' framing: those of one byte cost five more
 INFORMATIONAL_LIMIT = 8  # 1xx answers passed over in front of one answer
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
@@ -63,6 +64,8 @@
         "fault", "wire",
     )  # fmt: skip
 
+    most = BODY_LIMIT
+
     def __init__(self, parser: Callable[[object], object]) -> None:
         self.buffer = b""
         self.parser = parser(self)
@@ -126,8 +129,8 @@
                 self.fault = (431, f"a head of more than {HEAD_LIMIT} bytes")
         elif self.chunked:
             self.wire += count
-            if self.wire > CHUNKED_LIMIT:
-                self.fault = (413, f"a body of more than {CHUNKED_LIMIT} bytes with its framing")
+            if self.wire > FRAMING * self.most:
+                self.fault = (413, f"a body of more than {FRAMING * self.most} bytes with its framing")
 
     def _frame(self, bodyless: bool) -> None:
         """How the body's length is told; two ways at once may hide a message in another."""
@@ -145,11 +148,8 @@
                 self.fault = (400, "a content length that is no plain number")
             else:
                 self.length = int(lengths[0])
-                if self.length > self.most():
-                    self.fault = (413, f"a body of more than {BODY_LIMIT} bytes")
-
-    def most(self) -> int:
-        return BODY_LIMIT
+                if self.length > self.most:
+                    self.fault = (413, f"a body of more than {self.most} bytes")
 
     # ---- what the parser calls
 
@@ -170,8 +170,8 @@
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
-        if self.size > BODY_LIMIT:
-            self.fault = self.fault or (413, f"a body of more than {BODY_LIMIT} bytes")
+        if self.size > self.most:
+            self.fault = self.fault or (413, f"a body of more than {self.most} bytes")
         else:
             self.parts.append(data)
 
@@ -216,6 +216,8 @@
 
     __slots__ = ("passed",)
 
+    most = ANSWER_LIMIT
+
     def __init__(self) -> None:
         self.passed = 0
         super().__init__(httptools.HttpResponseParser)
@@ -254,8 +256,7 @@
         self.sink = sink
         super().__init__()
 
-    def most(self) -> int:
-        return 2**40
+    most = 2**40
 
     @property
     def status(self) -> int:
--- a/pebblehinge/service/server.py
+++ b/pebblehinge/service/server.py
@@ -161,7 +161,8 @@
     def _sum(self) -> None:
         """A line on what has passed since the last."""
         core, door = self.core, self.door
-        sums = {**core.counts, **{o.value: n for o, n in core.outcomes.items()}, **core.reasons, "errors": door.refused}
+        sums = {**core.counts, **{o.value: n for o, n in core.outcomes.items()}, **core.reasons, "errors": door.refused,
+                **self.shelfs.answers}  # fmt: skip
         new = {k: n - self.summed.get(k, 0) for k, n in sums.items() if n != self.summed.get(k, 0)}
         self.summed = sums
         if new:
--- a/pebblehinge/service/shelfs.py
+++ b/pebblehinge/service/shelfs.py
@@ -18,6 +18,7 @@
 from pebblehinge.interface import Outcome
 
 IDLE_PART = 0.8  # of the time after which a shelf may close an idle connection; then we do
+HELD_LIMIT = 16 * 1024 * 1024  # bytes of answers that are not whole yet, over all connections
 SECOND_LOOK_S = 0.003  # a timer that is due looks at the sockets once more
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # our own lack
 
@@ -60,13 +61,14 @@
 class ShelfConn(asyncio.Protocol):
     """One connection to a shelf."""
 
-    __slots__ = ("pool", "shelf", "address", "transport", "answers", "trip", "idle_ms", "poll")
+    __slots__ = ("pool", "shelf", "address", "transport", "answers", "trip", "idle_ms", "poll", "held")
 
     def __init__(self, pool: Shelfs, shelf: Shelf) -> None:
         self.pool, self.shelf, self.address = pool, shelf, shelf.address
         self.answers = Responses()
         self.trip: Trip | None = None
         self.idle_ms = 0.0
+        self.held = 0  # bytes of an answer that is not whole yet
         self.transport: Any = None
 
     def connection_made(self, transport: Any) -> None:
@@ -100,7 +102,9 @@
         try:
             self.answers.feed(data)
             answer = self.answers.next()
+            self.hold(self.answers.size)
         except HttpError:
+            self.pool.note("unreadable")
             self.trip = None
             self.transport.abort()
             self.pool.over(trip, Outcome.ERRED)  # it has run, and what came is of no use
@@ -108,14 +112,23 @@
         if answer is None:
             return
         self.trip = None
+        self.pool.note(str(answer.status))
         if answer.keep_alive and trip.written and not self.answers.buffer:
             self.pool.keep(self)
         else:
             self.transport.abort()
         self.pool.over(trip, outcome_of(answer), answer.body)
 
+    def hold(self, size: int) -> None:
+        """So much of an answer has come: all of them together are bounded, whatever each is said to bring."""
+        self.pool.held += size - self.held
+        self.held = size
+        if self.pool.held > HELD_LIMIT:
+            raise HttpError(502, f"more than {HELD_LIMIT} bytes of answers that are not whole yet")
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.connections -= 1
+        self.pool.held -= self.held
         trip, self.trip = self.trip, None
         if self in self.shelf.idle:
             self.shelf.idle.remove(self)
@@ -139,7 +152,8 @@
         self.owner, self.loop = owner, owner.loop
         self.idle_ms, self.connect_ms = idle_ms, connect_ms
         self.table: dict[str, Shelf] = {}
-        self.connections = 0
+        self.connections = self.held = 0
+        self.answers: dict[str, int] = {}  # how many came, by status
         self.out = 0  # trips
 
     def listed(self, ready: dict[str, bool], addresses: dict[str, tuple[str, int]], whole: bool) -> None:
@@ -215,6 +229,9 @@
         for shelf in self.table.values():
             self._close_idle(shelf)
 
+    def note(self, what: str) -> None:
+        self.answers[what] = self.answers.get(what, 0) + 1
+
     # ---- inside
 
     def _pooled(self, shelf: Shelf) -> ShelfConn | None:
