--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -483,6 +483,42 @@
     on_rig(script)
 
 
+def test_what_the_head_believes_is_what_passes_on_the_sockets() -> None:
+    """The time a trip took, trips out and connections, against the shelf's own record."""
+
+    async def script(rig: Rig) -> None:
+        loop, took, peer = asyncio.get_running_loop(), [], []
+        ended = rig.head.ended
+
+        def does(conn: ShelfPeer, request: Request) -> None:
+            came = time.monotonic()
+
+            def answer() -> None:
+                conn.write(OK)
+                peer.append((time.monotonic() - came) * 1000.0)
+
+            loop.call_later(0.1, answer)
+
+        def seen(taken: Any, trip: int, outcome: Outcome, took_ms: float, data: bytes) -> None:
+            took.append(took_ms)
+            ended(taken, trip, outcome, took_ms, data)
+
+        rig.head.ended = seen  # type: ignore[method-assign]
+        rig.shelfs[0].does = does
+        open_ = [await rig.client() for _ in range(3)]
+        for client in open_:
+            client.write(ask())
+        await until(lambda: len(rig.shelfs[0].asked) == 3)
+        assert rig.head.shelfs.out == 3 == len(rig.head.core.module.away[0])
+        assert rig.head.shelfs.connections == 3 == len(rig.shelfs[0].conns)
+        for client in open_:
+            await client.answer()
+        assert len(took) == 3 and all(0.0 <= t - p < 60.0 for t, p in zip(took, peer, strict=True))
+        assert rig.head.shelfs.out == 0 and len(rig.head.shelfs.table["s0"].idle) == 3
+
+    on_rig(script)
+
+
 def test_an_idle_connection_is_given_up_before_the_shelf_may_close_it() -> None:
     async def script(rig: Rig) -> None:
         await rig.ask(ask())
