http1: pieces of a message no longer copy the rest of what was read

Read over: `_next` cut the buffer anew for every piece it handed to the parser, so a body of one-byte chunks copied what was left twice for each byte. Now it goes on by place and cuts once a message. `_frame` says whether a length was told; `Responses` looked through the headers for it a second time.

--- a/pebblehinge/http1/messages.py
+++ b/pebblehinge/http1/messages.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+HEAD_END = b"\r\n\r\n"
 HEAD_LIMIT = 16 * 1024  # bytes of a head, from its first byte, and of trailers
 HEADERS_LIMIT = 64
 BODY_LIMIT = 64 * 1024  # bytes of a request's body, as the platform's protocol states
@@ -90,9 +91,10 @@
 
     def _next(self) -> bool:
         """Reads on to the end of one message, if it is there; raises HttpError where it can't be read."""
-        while self.buffer:
-            heading, cut = self.length < 0, self._cut()
-            piece, self.buffer = self.buffer[:cut], self.buffer[cut:]
+        buffer, at = self.buffer, 0
+        while at < len(buffer):
+            heading, end = self.length < 0, self._end(buffer, at)
+            piece, at = buffer[at:end], end
             try:
                 self.parser.feed_data(piece)
             except httptools.HttpParserUpgrade:
@@ -105,22 +107,22 @@
                 self.buffer = b""
                 raise HttpError(*self.fault)
             if self.done:
-                return True
-        return False
+                break
+        self.buffer = buffer[at:]  # once a message, however many pieces it has
+        return self.done
 
-    def _cut(self) -> int:
-        """How much of the buffer can't go past the end of this message."""
-        buffer = self.buffer
+    def _end(self, buffer: bytes, at: int) -> int:
+        """Up to where the buffer, from here on, can't go past the end of this message."""
         if self.length < 0:  # in the head
-            known = len(self.tail)
-            at = (self.tail + buffer).find(b"\r\n\r\n")
-            cut = len(buffer) if at < 0 else at + 4 - known
-            self.tail = (self.tail + buffer[:cut])[-3:]
-            return cut
+            over = (self.tail + buffer[at : at + 3]).find(HEAD_END)  # it may have begun in what came before
+            found = at + over - len(self.tail) if over >= 0 else buffer.find(HEAD_END, at)
+            end = len(buffer) if over < 0 and found < 0 else found + len(HEAD_END)
+            self.tail = (self.tail + buffer[max(at, end - 3) : end])[-3:]
+            return end
         if self.chunked:  # a message's end is a line's end
-            at = buffer.find(b"\n")
-            return len(buffer) if at < 0 else at + 1
-        return self.length - self.size
+            end = buffer.find(b"\n", at)
+            return len(buffer) if end < 0 else end + 1
+        return min(len(buffer), at + self.length - self.size)
 
     def _bound(self, count: int, heading: bool) -> None:
         if heading:
@@ -132,8 +134,8 @@
             if self.wire > FRAMING * self.most:
                 self.fault = (413, f"a body of more than {FRAMING * self.most} bytes with its framing")
 
-    def _frame(self, bodyless: bool) -> None:
-        """How the body's length is told; two ways at once may hide a message in another."""
+    def _frame(self, bodyless: bool) -> bool:
+        """How the body's length is told, and whether it is; two ways at once may hide a message in another."""
         lengths = [v for n, v in self.headers if n == b"content-length"]
         codings = [v for n, v in self.headers if n == b"transfer-encoding"]
         self.length = 0
@@ -150,6 +152,7 @@
                 self.length = int(lengths[0])
                 if self.length > self.most:
                     self.fault = (413, f"a body of more than {self.most} bytes")
+        return bool(lengths or codings)
 
     # ---- what the parser calls
 
@@ -239,10 +242,10 @@
     def on_headers_complete(self) -> None:
         status = self.parser.get_status_code()
         bodyless = status < 200 or status in (204, 304)
-        self._frame(bodyless)
+        told = self._frame(bodyless)
         if self.fault is None and bodyless:
             self.length = 0
-        elif self.fault is None and not self.chunked and not any(n == b"content-length" for n, _ in self.headers):
+        elif self.fault is None and not told:
             # It would end with its connection: what a broken one left out could not be told from the whole.
             self.fault = (502, "an answer that does not tell its length")
 
