--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -607,6 +607,18 @@
     on_rig(script)
 
 
+def test_more_than_a_thousand_shelfs_and_heads_are_no_limit() -> None:
+    async def script(rig: Rig) -> None:
+        port = rig.shelfs[1].port
+        rig.discovery.conns[0].tell(listing(2, *(entry(f"t{n}", port, n) for n in range(1500))))
+        await until(lambda: len(rig.head.core.module.at_slot) == 1500)
+        assert len(rig.head.shelfs.table) == 1500
+        io = "volume=00000003b4d60021,units=2,shard=1499,hosts=1400"
+        assert (await rig.ask(ask(X_IO=io))).status == 200 and len(rig.shelfs[1].asked) == 1
+
+    on_rig(script, shards=1500)
+
+
 def test_starts_are_told_on_the_heads_own_clock_and_what_can_not_be_read_is_left_out() -> None:
     told = Told(listing(7, entry("s1", 5, 2, "Ready", 1234.5), {"id": "s2"}, {**entry("s3", 5, 2), "state": "New"}))
     assert [(e.shelf, e.slot, e.started_ms) for e in told.entries] == [("s1", 2, 1234.5)] and len(told.faults) == 2
