Cold shelfs: a run of one extent keeps to the narrowed bound, so no head sends it a burst

A turn is drawn once an extent: a hot volume whose extent has an early one lets all of it through, and an access of the last sent extent passed the bound of one. Lines at fault: Head._serve, the loop's 'while held and len(away) < BOUND' also for a shelf that is cold. Change: a cold shelf gets no more at once from a head than its bound, runs included.

With it: times to return are drawn from half to all of the longest that may be told: 200 heads refused a lost zone's clients and called all of them back at once. Lateness is known when it delays a read: it was measured after the turn, and cut at 100 ms. A connection idle over its time that holds something unread kept its place, and all younger ones were closed instead.

--- a/pebblehinge/decide.py
+++ b/pebblehinge/decide.py
@@ -261,8 +261,8 @@
         return self._finish(now)
 
     def leaves(self, now: float, end_ms: float) -> Changes:
-        """This life ends, and all that was taken has its answer by end_ms: what can't go before then is given up
-        now, what is out may still be answered. Harm: what a shelf would have answered after is redone or lost."""
+        """This life ends, and all that was taken has its answer by end_ms: what can't go before is given up now,
+        what is out may still be answered. Harm: what a shelf would have answered after is redone or lost."""
         self.end_ms = end_ms
         for s, held in enumerate(self.held):
             for a in (*held, *self.away[s]):
@@ -350,9 +350,9 @@
                 self.trial_ms[s] = now + TRIAL_GAP_MS
                 self._send(a, now)
             return
-        while held and len(self.away[s]) < BOUND:
+        while held and len(self.away[s]) < (BOUND if self.cold_ms[s] is None else self.bound[s]):
             # An access of the finished, awaited or last sent extent goes at once, ahead of the candidate; a
-            # narrowed bound does not keep a run apart, the shelf saves work only on what comes together.
+            # narrowed bound keeps no run apart, the shelf saves work on what comes so, but cold ones (rule 4).
             kept = [w[0] for w in waits]
             runs = [done, self.last_extent[s], *kept]
             access = next((a for a in held if a.extent and a.extent in runs and self._may_go(a, now)), None)
@@ -593,7 +593,7 @@
         repeat, group = a.profile.repeat, a.profile.group
         clean = (a.risk_ms is None and not a.out) or repeat is Repeat.REDOABLE or (
             repeat is Repeat.LABELLED and group is Group.ALL)  # fmt: skip
-        stay = self.cfg.stay_away_max_ms
+        stay = self.cfg.stay_away_max_ms * self.rng.uniform(0.5, 1.0)  # or all come back in step
         a.answer = Answer(Final.PUSHED_BACK, stay, why) if clean else Answer(Final.TERMINATED, why=why)
         st = self.stores.get(a.volume)
         if st is not None and not a.sent:  # what it would have earned is still due to others of its volume
--- a/pebblehinge/service/clients.py
+++ b/pebblehinge/service/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -332,9 +333,9 @@
                 continue
             self.unfinished(conn)
         # While the head leaves, none can come back that is sent away: idle ones stay to the end.
-        while not self.leaving and self.idle and now - next(iter(self.idle)).since > self.IDLE_MS:
-            if not self.close_first():
-                break
+        for conn in [] if self.leaving else [c for c in self.idle if now - c.since > self.IDLE_MS]:
+            if conn.quiet():
+                conn.close()
         for conn in [c for c in self.closing if now - c.since > self.CLOSE_MS]:
             if not conn.transport.get_write_buffer_size() or now > max(conn.until, conn.since + self.STALL_MS):
                 conn.transport.abort()
@@ -349,19 +350,12 @@
             self.unserved += 1
             conn.close()
 
-    def close_first(self) -> bool:
-        """Closes the connection idle for longest, one that holds nothing unread; whether there was one."""
-        conn = next((c for c in self.idle if c.quiet()), None)
-        if conn is not None:
-            conn.close()
-        return conn is not None
-
     def trim(self) -> None:
-        """The connections idle for longest are closed where more stand than may."""
-        most = self.KEPT_PART * self.owner.config.sockets
-        while not self.leaving and self.idle and len(self.idle) + len(self.busy) > most:
-            if not self.close_first():
-                break
+        """The connections idle for longest are closed where more stand than may, but none that holds what is unread."""
+        over = len(self.idle) + len(self.busy) - int(self.KEPT_PART * self.owner.config.sockets)
+        if over > 0 and not self.leaving:
+            for conn in [c for c in itertools.islice(self.idle, 2 * over) if c.quiet()][:over]:
+                conn.close()
 
     def spare(self, now: float) -> bool:
         """Ends one connection with no access open, where there is one: one that is closing, has said nothing for a
--- a/pebblehinge/service/server.py
+++ b/pebblehinge/service/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 import random
 import signal
 import socket
@@ -24,7 +25,7 @@
 LOOK_S = 0.1  # between looks at what has stood too long
 TICK_S = 0.02  # between measures of how late the loop is
 LATE_KEPT = 0.8  # of the last lateness, at each measure
-MOST_LATE_MS = 100.0  # more lateness than this is no longer taken off a client's time
+MOST_LATE_MS = 100.0  # more than this is no longer taken off a client's time once its turn is over
 AT_ONCE = 16  # connections accepted in a turn
 BACKLOG = 1024
 OWN_SOCKETS = 24  # descriptors of the process itself, discovery's connections among them
@@ -51,7 +52,8 @@
         self.clock = clock or make_clock()
         self.born = self.clock()
         self.lines = 0
-        self.late_ms = 0.0
+        self.turn_late_ms = self.usual_late_ms = 0.0
+        self.tick_due = math.inf  # on the loop's clock, when lateness is measured next
         self.door = Door(self)
         self.shelfs = Shelfs(self, config.idle_ms, config.connect_ms)
         self.core = Core(config.settings, config.seed, self.born, self)
@@ -99,7 +101,7 @@
         self.listening = listening
         self.loop.add_reader(listening.fileno(), self._accept)
         self.loop.call_later(LOOK_S, self._look)
-        self.loop.call_later(TICK_S, self._tick, self.loop.time() + TICK_S)
+        self._tick()
         self.loop.call_later(SUMS_S, self._sum_again)
         gc.collect()
         gc.freeze()
@@ -281,10 +283,22 @@
         self.shelfs.look(now)
         self.watch.look()
 
-    def _tick(self, due: float) -> None:
-        late = (self.loop.time() - due) * 1000.0 - 1.0  # the loop's own grid
-        self.late_ms = min(MOST_LATE_MS, max(0.0, late, self.late_ms * LATE_KEPT - 0.1))
-        self.loop.call_later(TICK_S, self._tick, self.loop.time() + TICK_S)
+    @property
+    def late_ms(self) -> float:
+        """How long what is read now may have lain unread: as long as the measure itself is overdue, and as it was
+        when it was last made, in the turn that it was made in."""
+        return max(self.turn_late_ms, self.usual_late_ms, (self.loop.time() - self.tick_due) * 1000.0 - 1.0)
+
+    def _tick(self) -> None:
+        late = (self.loop.time() - self.tick_due) * 1000.0 - 1.0  # the loop's own grid
+        self.usual_late_ms = min(MOST_LATE_MS, max(0.0, late, self.usual_late_ms * LATE_KEPT - 0.1))
+        self.turn_late_ms = max(0.0, late)
+        self.loop.call_soon(self.loop.call_soon, self._turned)  # a timer goes before the turn's reads: one turn later
+        self.tick_due = self.loop.time() + TICK_S
+        self.loop.call_later(TICK_S, self._tick)
+
+    def _turned(self) -> None:
+        self.turn_late_ms = 0.0
 
 
 async def run(path: str, config: ServiceConfig) -> None:
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -377,3 +377,20 @@
     monkeypatch.setattr(Access, "__eq__", same)
     monkeypatch.setattr(Access, "__hash__", object.__hash__, raising=False)
     assert given_up(400) < 2.6 * max(1, given_up(200)) + 400
+
+
+def test_times_to_return_are_spread_over_heads_and_accesses() -> None:
+    """All heads told the same time: what 200 of them refused at once, a zone's loss for one, came back at once."""
+    stays = []
+    for seed in range(100):
+        head = Head(SAFE, seed, 0.0)
+        listed(head, 0.0, ("A", 0, 0.0))
+        for _ in range(2):  # its slot is not listed
+            answer = take(head, 1.0, slot=5).drain()[2]
+            assert answer is not None
+            stays.append(answer.stay_away_ms)
+    most = SAFE.stay_away_max_ms
+    assert min(stays) >= most / 2 and max(stays) <= most
+    for part in range(10):  # of any tenth of that time no more than a fifth come back
+        low = most * (0.5 + part / 20)
+        assert sum(low <= s < low + most / 20 for s in stays) < 40
