Command line: a package, its commands in files by group

Commands stand in cli/ by group, the shared ends, logs, clocks and options in cli/base.py; what is offered and the help of each group are the same (lists of commands compared). lab/compare.py tells a checkout by __main__.py.

--- /dev/null
+++ b/pebblehinge/cli/base.py
@@ -0,0 +1,156 @@
+"""What all commands share: how they end, logs, clocks, the loop, common options."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, NoReturn
+
+import click
+import structlog
+import uvloop
+
+from pebblehinge import __version__
+from pebblehinge.records import NoRecords, Records, RecordsError
+from pebblehinge.settings import Config, SettingsError, load, show
+from pebblehinge.settings.schema import LogBlock
+
+
+def give_up(reason: str) -> NoReturn:
+    """One plain line, exit 2."""
+    click.echo(f"pebblehinge: {reason}", err=True)
+    sys.exit(2)
+
+
+def read_settings(file: str, loopback: str | None = None) -> Config:
+    try:
+        return load(file, loopback)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(str(problem), err=True)
+        count = len(error.problems)
+        give_up(f"{file}: {count} fault{'s' if count > 1 else ''}")
+
+
+def logger(block: LogBlock, **context: Any) -> Any:
+    """structlog on standard error, as JSON or for a console."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer()
+            if block.form == "json"
+            else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, block.level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    return structlog.get_logger().bind(**context)
+
+
+def clock_of(loop: asyncio.AbstractEventLoop) -> Callable[[], float]:
+    """Milliseconds of the monotonic clock, which no change of the wall clock moves. The loop's own time has the
+    same origin but stands still within a turn, and is too coarse for latencies."""
+    monotonic = time.monotonic
+    return lambda: monotonic() * 1000.0
+
+
+def run(main: Callable[[asyncio.AbstractEventLoop], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Runs a process on uvloop; faults of its surroundings end it with one line and exit 2."""
+    loop = uvloop.new_event_loop()
+    try:
+        asyncio.set_event_loop(loop)
+        code = loop.run_until_complete(main(loop))
+    except (RecordsError, OSError) as error:
+        give_up(describe(error))
+    except KeyboardInterrupt:
+        code = 130
+    sys.stdout.flush()
+    sys.exit(code)
+
+
+def describe(error: Exception) -> str:
+    if isinstance(error, OSError):
+        return f"{error.strerror or error}{f': {error.filename}' if error.filename else ''}"
+    return str(error)
+
+
+def records_for(
+    folder: str | None, name: str, loop: asyncio.AbstractEventLoop, failed: Callable[[RecordsError], None] | None = None
+) -> Records | NoRecords:
+    return Records(folder, name, loop.call_soon, failed) if folder else NoRecords()
+
+
+def ready() -> None:
+    """The line that a supervisor or the lab waits for."""
+    click.echo("ready")
+    sys.stdout.flush()
+
+
+def until_told(loop: asyncio.AbstractEventLoop, stop: Callable[[str], None]) -> None:
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, stop, sig.name)
+
+
+FILE = click.argument("file", type=click.Path(dir_okay=False))
+LOOPBACK = click.option("--loopback", help="Host of a fleet block's addresses, in place of the file's.")
+RECORDS = click.option("--records", type=click.Path(file_okay=False), help="Folder for records of the sockets.")
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print one object.")
+SEED = click.option("--seed", type=click.IntRange(0), default=0, show_default=True, help="Start of all chance.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A storage gateway: schedules a host's reads and writes over storage nodes."""
+
+
+@main.command()
+def version() -> None:
+    """Print the program's version."""
+    click.echo(f"pebblehinge {__version__}")
+
+
+@main.command()
+@FILE
+@click.option("--show", "show_it", is_flag=True, help="Print what is in force, defaults marked.")
+def check(file: str, show_it: bool) -> None:
+    """Check a settings file; all faults are told at once."""
+    config = read_settings(file)
+    if show_it:
+        click.echo("\n".join(show(config)))
+    else:
+        click.echo(f"{file}: sound")
+
+
+def pick(config: Config, what: str, name: str | None) -> str:
+    known = getattr(config, what)
+    if name is None and len(known) == 1:
+        return next(iter(known))
+    if name not in known:
+        has = ", ".join(known) or "none"
+        give_up(f"{what} {name!r} is not in the settings: they have {has}" if name else f"name one {what} of {has}")
+    return name
+
+
+def say_progress(quiet: bool) -> Callable[[str], None]:
+    """Lines on standard error, led by the seconds since now."""
+    began = time.monotonic()
+
+    def said(line: str) -> None:
+        if not quiet:
+            click.echo(f"[{time.monotonic() - began:5.1f} s] {line}", err=True)
+
+    return said
+
+
+JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=None, help="Parallel processes; else all cores.")
+QUIET = click.option("--quiet", is_flag=True, help="No progress.")
+
+
+def jobs_of(jobs: int | None) -> int:
+    return jobs or max(1, (os.cpu_count() or 2))
--- /dev/null
+++ b/pebblehinge/cli/group.py
@@ -0,0 +1,202 @@
+"""`pebblehinge group` and `config`: an instance of the group, and the versions that it agrees on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from typing import Any
+
+import click
+import uvloop
+
+from pebblehinge.cli.base import (
+    AS_JSON,
+    FILE,
+    LOOPBACK,
+    SEED,
+    clock_of,
+    describe,
+    give_up,
+    logger,
+    main,
+    pick,
+    read_settings,
+    ready,
+    run,
+    until_told,
+)
+from pebblehinge.settings import Config, load, show
+
+
+@main.command()
+@FILE
+@click.option("--name", help="Which member block of the file.")
+@click.option("--store", type=click.Path(file_okay=False), help="Folder of this instance; else the block's.")
+@click.option("--begin", is_flag=True, help="This instance has never run before: an empty folder is right.")
+@LOOPBACK
+@SEED
+def group(file: str, name: str | None, store: str | None, begin: bool, loopback: str | None, seed: int) -> None:
+    """Run one instance of the group that agrees on configuration."""
+    config = read_settings(file, loopback)
+    name = pick(config, "member", name)
+    folder = store or config.member[name].store
+    if not folder:
+        give_up(f"member {name} has no store: name one by --store or in its block")
+    log = logger(config.log, member=name)
+    run(lambda loop: _group(loop, config, name, folder, begin, seed, log))
+
+
+async def _group(
+    loop: asyncio.AbstractEventLoop, config: Config, name: str, folder: str, begin: bool, seed: int, log: Any
+) -> int:
+    from pebblehinge.agreed.server import MemberServer
+    from pebblehinge.raft.storage import RealDisk, StorageError, identify
+
+    try:
+        disk = RealDisk(folder)
+        disk.own()
+        identify(disk, config.group.id, name, begin)
+        server = MemberServer(loop, clock_of(loop), config, name, disk, log, seed or os.getpid())
+    except (StorageError, OSError) as error:
+        give_up(f"member {name}: {folder}: {describe(error)}")
+    try:
+        await server.start()
+    except OSError as error:
+        give_up(f"member {name}: {config.member[name].listen}: {describe(error)}")
+    until_told(loop, server.stop)
+    ready()
+    await server.stopped
+    await asyncio.sleep(0.02)
+    if server.failure:
+        click.echo(f"pebblehinge: {server.failure}", err=True)
+        return 2
+    return 0
+
+
+@main.group(name="config")
+@click.option("--group", "file", required=True, type=click.Path(dir_okay=False), help="Settings with member blocks.")
+@LOOPBACK
+@click.pass_context
+def config_group(context: click.Context, file: str, loopback: str | None) -> None:
+    """Look at and change what the group has agreed on."""
+    config = read_settings(file, loopback)
+    if not config.member:
+        give_up(f"{file} has no member blocks: there is no group to ask")
+    context.obj = config
+
+
+def ask(config: Config, verb: str, **values: Any) -> str:
+    """The group's answer; a refusal is told and ends with exit 1, no answer with exit 2."""
+    from pebblehinge.agreed.ask import ask_group
+
+    async def main(loop: asyncio.AbstractEventLoop) -> tuple[bool, str]:
+        return await ask_group(loop, [b.listen for b in config.member.values()], verb, values)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        ok, text = runner.run(main(runner.get_loop()))
+    if not ok:
+        click.echo(f"pebblehinge: {text}", err=True)
+        sys.exit(2 if "can be reached" in text or "no leader" in text else 1)
+    return text
+
+
+@config_group.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--base", type=click.IntRange(0), help="The version that it is based on; else the newest now.")
+@click.option("--note", default="", help="A word on why.")
+@click.pass_obj
+def propose(config: Config, file: str, base: int | None, note: str) -> None:
+    """Propose FILE as the next version; refused where another came since BASE."""
+    read_settings(file)
+    text = flat(file)
+    if base is None:
+        lines = ask(config, "history").splitlines()
+        base = 0 if lines[-1].startswith("no ") else int(lines[-1].split()[0])
+    session = f"{os.getpid()}-{time.time_ns()}"
+    who = os.environ.get("USER", "operator")
+    number = ask(config, "propose", text=text, base=base, author=who, note=note, session=session, serial=1)
+    click.echo(f"version {number} is agreed on and being taken up")
+
+
+def flat(file: str) -> str:
+    """The file's settings as one text, includes resolved."""
+    return "\n".join(show(load(file))) + "\n"
+
+
+@config_group.command(name="show")
+@click.option("--version", "number", type=click.IntRange(1), help="Else the active one.")
+@click.pass_obj
+def show_version(config: Config, number: int | None) -> None:
+    """Print a version."""
+    click.echo(ask(config, "show", version=number or 0))
+
+
+@config_group.command()
+@click.argument("a", type=click.IntRange(1))
+@click.argument("b", type=click.IntRange(1))
+@click.pass_obj
+def diff(config: Config, a: int, b: int) -> None:
+    """What changed from version A to B."""
+    click.echo(ask(config, "diff", a=a, b=b))
+
+
+@config_group.command()
+@click.pass_obj
+def history(config: Config) -> None:
+    """All versions that are kept."""
+    click.echo(ask(config, "history"))
+
+
+@config_group.command()
+@click.argument("number", type=click.IntRange(1))
+@click.pass_obj
+def rollback(config: Config, number: int) -> None:
+    """Propose an older version's text as the next version."""
+    session = f"{os.getpid()}-{time.time_ns()}"
+    newest = ask(config, "rollback", version=number, author="operator", session=session, serial=1)
+    click.echo(f"version {newest} is agreed on and being taken up")
+
+
+@config_group.command()
+@click.argument("what", type=click.Choice(["list", "add", "remove"]), default="list")
+@click.argument("name", required=False)
+@click.pass_obj
+def members(config: Config, what: str, name: str | None) -> None:
+    """List the group's instances, add one (first as a learner, then, said again, as a voter), or remove one."""
+    click.echo(ask(config, "members", do=what, name=name or ""))
+
+
+@config_group.command()
+@click.argument("head")
+@click.pass_obj
+def forget(config: Config, head: str) -> None:
+    """Vouch that HEAD will not come back as it was, so that nothing is set aside for it."""
+    click.echo(ask(config, "forget", head=head))
+
+
+@config_group.command()
+@AS_JSON
+@click.pass_obj
+def status(config: Config, as_json: bool) -> None:
+    """What each instance says of itself."""
+    from pebblehinge.agreed.ask import ask_one
+
+    async def main(loop: asyncio.AbstractEventLoop) -> int:
+        found = 0
+        for name, block in config.member.items():
+            try:
+                _, text, _ = await ask_one(loop, block.listen, "status", {"json": 1} if as_json else {})
+                found += 1
+            except (OSError, TimeoutError) as error:
+                text = f"{name}: can't be reached ({describe(error) or 'no answer'})"
+                if as_json:
+                    text = json.dumps({"instance": name, "error": describe(error) or "no answer"})
+            click.echo(text)
+        return found
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        if not runner.run(main(runner.get_loop())):
+            sys.exit(2)
--- /dev/null
+++ b/pebblehinge/cli/store.py
@@ -0,0 +1,131 @@
+"""`pebblehinge store`: a journal looked at, verified, exported, replayed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from pebblehinge.cli.base import AS_JSON, give_up, main, run
+
+
+@main.group()
+def store() -> None:
+    """A head's journal, read elsewhere: for a head that will not come back."""
+
+
+FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False))
+
+
+def journal_of(folder: str) -> tuple[Any, dict[str, Any]]:
+    from pebblehinge.store import RealDisk
+    from pebblehinge.store.journal import look
+
+    disk = RealDisk(folder)
+    return disk, look(disk)
+
+
+@store.command(name="inspect")
+@FOLDER
+@AS_JSON
+def store_inspect(folder: str, as_json: bool) -> None:
+    """What FOLDER holds: nothing is changed."""
+    _, told = journal_of(folder)
+    writes = told.pop("writes")
+    told |= {"live": len(writes), "live_bytes": sum(len(w.data) for w in writes)}
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    click.echo(f"{told['segments']} segments, {told['bytes']} bytes; {told['live']} writes not yet at their shelfs "
+               f"({told['live_bytes']} bytes), {told['done']} done, {told['barriers']} barriers")  # fmt: skip
+    for write in writes[:20]:
+        click.echo(f"  {write.number}: {write.volume}/{write.extent} at {write.offset}, {len(write.data)} bytes")
+    for line in told["damage"]:
+        click.echo(f"damage: {line}")
+    if told["fenced"]:
+        click.echo("fenced: another has taken it over")
+
+
+@store.command(name="verify")
+@FOLDER
+def store_verify(folder: str) -> None:
+    """Exit 0 where all that was promised can be read, 1 and the places where not."""
+    from pebblehinge.store import StorageError
+    from pebblehinge.store.journal import read_segment
+
+    disk, told = journal_of(folder)
+    names = sorted(n for n in disk.names() if n.startswith("journal-"))
+    try:
+        for i, name in enumerate(names):
+            read_segment(name, disk.read(name), i == len(names) - 1)
+    except StorageError as error:
+        click.echo(str(error))
+        sys.exit(1)
+    click.echo(f"sound: {len(told['writes'])} writes not yet at their shelfs")
+
+
+@store.command(name="export")
+@FOLDER
+@click.argument("target", type=click.Path(file_okay=False))
+def store_export(folder: str, target: str) -> None:
+    """Write what can be read of FOLDER's live writes to files below TARGET: VOLUME/EXTENT, by offset."""
+    _, told = journal_of(folder)
+    for write in told["writes"]:
+        path = Path(target) / write.volume / write.extent.replace("/", "%2F")
+        path.parent.mkdir(parents=True, exist_ok=True)
+        with path.open("r+b" if path.exists() else "wb") as file:
+            file.seek(write.offset)
+            file.write(write.data)
+    click.echo(f"{len(told['writes'])} writes")
+    sys.exit(1 if told["damage"] else 0)
+
+
+@store.command(name="replay")
+@FOLDER
+@click.argument("address", metavar="HOST:PORT")
+@click.option("--profile", required=True, help="Of the accesses.")
+def store_replay(folder: str, address: str, profile: str) -> None:
+    """Fence FOLDER, then bring its live writes through the head at HOST:PORT, in order, each once."""
+    from pebblehinge.client import connect
+    from pebblehinge.store import StorageError
+    from pebblehinge.store.journal import fence
+
+    disk, told = journal_of(folder)
+    try:
+        disk.own()
+    except StorageError as error:
+        give_up(f"{error}: a head that runs brings its writes itself")
+    if told["damage"] and any("promised" in line for line in told["damage"]):
+        click.echo("\n".join(told["damage"]), err=True)
+    fence(disk, f"replay through {address}")
+
+    async def bring(loop: asyncio.AbstractEventLoop) -> int:
+        client = await connect(address, name="replay", loop=loop)
+        brought = stood = 0
+        for write in told["writes"]:
+            where = {"profile": profile, "slot": write.slot, "units": write.units, "patience_ms": 4000.0}
+            for _ in range(50):
+                got = await client.read(write.volume, write.extent, len(write.data), offset=write.offset, **where)
+                if got.honoured and got.data == write.data:
+                    stood += 1
+                    break
+                label = f"wb.{write.label}.{write.number}"
+                if got.honoured:
+                    got = await client.write(write.volume, write.extent, write.data, offset=write.offset, label=label,
+                                             **where)  # fmt: skip
+                    if got.honoured:
+                        brought += 1
+                        break
+                await asyncio.sleep(max(0.1, got.stay_ms / 1000.0))
+            else:
+                click.echo(f"write {write.number} could not be brought: {got.final} {got.reason}", err=True)
+                return 1
+        client.close()
+        click.echo(f"{brought} writes brought, {stood} stood already")
+        return 0
+
+    run(bring)
--- a/pebblehinge/lab/compare.py
+++ b/pebblehinge/lab/compare.py
@@ -62,6 +62,6 @@
     """The folder that holds a build: this one's own if none is named."""
     if root is None:
         return str(Path(__file__).resolve().parents[2])
-    if not (Path(root) / "pebblehinge" / "cli.py").is_file():
+    if not (Path(root) / "pebblehinge" / "__main__.py").is_file():
         raise RuntimeError(f"{root} holds no build of pebblehinge")
     return str(Path(root).resolve())
