--- a/benchmarks/group_cost.py
+++ b/benchmarks/group_cost.py
@@ -67,7 +67,7 @@
             elif done == proposals:
                 finished.set_result(None)
 
-        assert leader._propose(command("forget", f"nobody-{sent}"), told)
+        assert leader.propose(command("forget", f"nobody-{sent}"), told)
 
     began = time.perf_counter()
     for _ in range(16):
--- a/pebblehinge/agreed/server.py
+++ b/pebblehinge/agreed/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import difflib
 import itertools
 import random
 from collections.abc import Callable
@@ -11,19 +10,17 @@
 
 import msgspec
 
+from pebblehinge.agreed.asking import Asking
 from pebblehinge.agreed.leases import Leases
 from pebblehinge.agreed.state import State, command
 from pebblehinge.net import Peer, parse_address
-from pebblehinge.raft import Membership, Raft
+from pebblehinge.raft import Raft
 from pebblehinge.raft.log import Entry
 from pebblehinge.raft.node import Node, PeerLink
 from pebblehinge.raft.storage import Disk, Storage, first_members
-from pebblehinge.settings import Config, SettingsError
-from pebblehinge.settings.load import loads
+from pebblehinge.settings import Config
 from pebblehinge.wire import Kind, Session, WireError
 
-MOST_ASKED = 64  # questions of operators that wait at once
-
 
 class MemberConn(Peer):
     """A connection from another instance, a head, or an operator."""
@@ -57,7 +54,7 @@
         self.member.renewed(self, *values)
 
     def on_ask(self, token: int, verb: str, values: dict[str, str | int]) -> None:
-        self.member.asked(self, token, verb, values)
+        self.member.asking.asked(self, token, verb, values)
 
 
 class MemberServer:
@@ -98,6 +95,7 @@
         self.reads: dict[int, Callable[[bool], None]] = {}
         self.contexts = itertools.count(1)
         self.on_its_way: dict[tuple[Any, ...], int] = {}  # commands of the leader itself -> index
+        self.asking = Asking(self)
         self.failure, self.told_of = "", 0
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.server: Any = None
@@ -147,7 +145,7 @@
             tell("another leader came: ask whether it was done")
         self.proposals.clear()
 
-    def _propose(self, data: bytes, tell: Callable[[str], None], session: str = "", serial: int = 0) -> bool:
+    def propose(self, data: bytes, tell: Callable[[str], None], session: str = "", serial: int = 0) -> bool:
         index = self.node.raft.propose(data, session, serial)
         if index is None:
             return False
@@ -199,7 +197,7 @@
     ) -> None:
         """A head asks for its lease and tells what it has taken up."""
         if not self.node.leads or self.leases is None:
-            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self._leader_address())
+            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self.leader_address())
             return
         if refused and refused == self.state.pending:
             self._own("refuse", refused, f"{head}: {reason}")
@@ -215,7 +213,7 @@
 
     def _grant(self, conn: MemberConn, token: int, head: str, acknowledges: int, known: int, sound: bool) -> None:
         if not sound or self.leases is None:
-            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self._leader_address())
+            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self.leader_address())
             return
         state, lease = self.state, 0.0
         if self.leases.may_grant(state, head, acknowledges):
@@ -231,150 +229,17 @@
         if call is not None:
             call(sound)
 
-    def _leader_address(self) -> str:
+    def leader_address(self) -> str:
         leader = self.node.raft.leader
         block = self.config.member.get(leader or "")
         return block.listen if block is not None and leader != self.name else ""
 
-    # ---- operators
-
-    def asked(self, conn: MemberConn, token: int, verb: str, values: dict[str, str | int]) -> None:
-        def tell(ok: bool, text: str) -> None:
-            conn.send(Kind.TOLD, token, ok, text, "")
+    # ---- what operators ask needs
 
-        if verb == "status":
-            tell(True, self._status_object() if values.get("json") else self._status())
-            return
-        if not self.node.leads:
-            conn.send(Kind.TOLD, token, False, "no leader is known" if not self._leader_address() else "not the leader",
-                      self._leader_address())  # fmt: skip
-            return
-        if len(self.reads) + len(self.proposals) > MOST_ASKED:
-            tell(False, "too much is asked at once")
-            return
-        try:
-            call = getattr(self, f"_ask_{verb.replace('-', '_')}", None)
-            if call is None:
-                tell(False, f"{verb!r} is not known")
-            else:
-                call(tell, values)
-        except (KeyError, TypeError, ValueError) as error:
-            tell(False, f"{verb}: {error}")
-
-    def _after_read(self, tell: Callable[[bool, str], None], look: Callable[[], tuple[bool, str]]) -> None:
+    def after_read(self, tell: Callable[[bool, str], None], look: Callable[[], tuple[bool, str]]) -> None:
         """Answers with what is agreed now, not with what this instance believed when it led."""
         context = next(self.contexts)
         self.reads[context] = lambda sound: tell(*look()) if sound else tell(False, "this instance leads no more")
         if not self.node.raft.read(context):
             self.reads.pop(context)(False)
         self.node.work()
-
-    def _ask_propose(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        text = str(v["text"])
-        try:
-            loads(text, "proposal")
-        except SettingsError as error:
-            tell(False, str(error))
-            return
-        data = command("propose", int(v["base"]), text, str(v.get("author", "")), str(v.get("note", "")))
-        done = lambda said: tell(not said, said or str(self.state.newest))  # noqa: E731
-        if not self._propose(data, done, str(v.get("session", "")), int(v.get("serial", 0))):
-            tell(False, "this instance takes no proposals now")
-
-    def _ask_rollback(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        text = self.state.text(int(v["version"]))
-        if text is None:
-            tell(False, f"version {v['version']} is not kept")
-            return
-        note = f"back to version {v['version']}"
-        self._ask_propose(tell, {**v, "text": text, "base": self.state.newest, "note": note})
-
-    def _ask_forget(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        if not self._propose(command("forget", str(v["head"])), lambda said: tell(not said, said or "forgotten")):
-            tell(False, "this instance takes no proposals now")
-
-    def _ask_show(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        def look() -> tuple[bool, str]:
-            number = int(v.get("version", 0)) or self.state.active
-            text = self.state.text(number)
-            return (True, text) if text is not None else (False, f"version {number} is not kept")
-
-        self._after_read(tell, look)
-
-    def _ask_diff(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        def look() -> tuple[bool, str]:
-            texts = [self.state.text(int(v[side])) for side in ("a", "b")]
-            if None in texts:
-                return False, "one of the versions is not kept"
-            a, b = (str(t).splitlines() for t in texts)
-            return True, "\n".join(difflib.unified_diff(a, b, f"version {v['a']}", f"version {v['b']}", lineterm=""))
-
-        self._after_read(tell, look)
-
-    def _ask_history(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        def look() -> tuple[bool, str]:
-            lines = []
-            for number, version in self.state.versions.items():
-                what = "active" if number == self.state.active else "pending" if number == self.state.pending else ""
-                what = f"refused: {version.refused}" if version.refused else what
-                lines.append(f"{number}  {version.author or '-'}  {version.note or '-'}  {what}".rstrip())
-            return True, "\n".join(lines) or "no version yet"
-
-        self._after_read(tell, look)
-
-    def _ask_members(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        raft, what, name = self.node.raft, str(v.get("do", "list")), str(v.get("name", ""))
-        now = raft.members
-        if what == "list":
-            tell(True, f"voters {' '.join(now.voters)}\nlearners {' '.join(now.learners) or 'none'}")
-            return
-        if what == "add" and name not in self.config.member:
-            tell(False, f"{name!r} has no member block here: expected one of {', '.join(self.config.member)}")
-            return
-        if what == "add" and name in now.learners:
-            new = Membership(tuple(sorted({*now.voters, name})), tuple(n for n in now.learners if n != name))
-        elif what == "add":
-            new = Membership(now.voters, tuple(sorted({*now.learners, name})))
-        elif what == "remove":
-            new = Membership(tuple(n for n in now.voters if n != name), tuple(n for n in now.learners if n != name))
-        else:
-            tell(False, f"members {what!r}: expected list, add or remove")
-            return
-        if new == now:
-            tell(True, "it is so already")
-            return
-        refused = raft.change(new)
-        self.node.work()
-        tell(not refused, refused or f"voters {' '.join(new.voters)}; learners {' '.join(new.learners) or 'none'}")
-
-    def _ask_transfer(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
-        refused = self.node.raft.transfer(str(v["to"]))
-        self.node.work()
-        tell(not refused, refused or "under way")
-
-    def _status_object(self) -> str:
-        raft, state, now = self.node.raft, self.state, self.clock()
-        held = self.leases.holding if self.leases is not None else {}
-        return msgspec.json.encode({
-            "instance": self.name, "role": raft.role.value, "leader": raft.leader, "term": raft.term,
-            "commit": raft.commit, "version": state.active, "pending": state.pending,
-            "members": list(raft.members.voters), "learners": list(raft.members.learners),
-            "heads": [
-                {"id": n, "version": row.version,
-                 "lag_ms": round(now - held[n].answered_ms, 1) if n in held else None}
-                for n, row in sorted(state.heads.items())
-            ],
-        }).decode()  # fmt: skip
-
-    def _status(self) -> str:
-        raft, state = self.node.raft, self.state
-        lines = [
-            f"{self.name}: {raft.role.value}, term {raft.term}, leader {raft.leader or 'none'}",
-            f"log {raft.log.at}..{raft.log.last}, committed {raft.commit}, applied {raft.applied_to}",
-            f"active {state.active}, pending {state.pending or 'none'}",
-        ]
-        lines += [f"head {row.name}: version {row.version}" for _, row in sorted(state.heads.items())]
-        lines += [f"set aside for {v}: {r:g}/s, {b:g} at once" for v, (r, b) in state.aside.items() if r or b]
-        if self.leases is not None:
-            lines += [f"waits: {w}" for w in self.leases.waits_for(self.clock(), state)]
-        return "\n".join(lines)
