--- a/pebblehinge/cli/days.py
+++ b/pebblehinge/cli/days.py
@@ -28,6 +28,7 @@
     say_progress,
 )
 from pebblehinge.records import RecordsError
+from pebblehinge.settings import Config
 
 MOST_ROWS = 400_000  # of a trial that this program is ready to play
 BUILT_IN = Path(__file__).parent.parent / "lab" / "days"
@@ -64,6 +65,24 @@
     give_up(f"no day {name!r}: expected a file, or one of {known}")
 
 
+def script_of(config: Config, day_name: str, file: str | None, count: int | None, seed: int) -> list[Any] | None:
+    """The faults of a run; None: the fleet is not prepared for any."""
+    from pebblehinge.lab.faults.draw import cast_of, draw
+    from pebblehinge.lab.faults.script import ScriptError, read
+
+    cast = cast_of(config)
+    if count is not None:
+        return draw(cast, seed, config.day[day_name].length, count)
+    if file is None:
+        return None
+    try:
+        return read(Path(file).read_text(), cast.names, file)
+    except OSError as error:
+        give_up(f"{file}: {describe(error)}")
+    except (ScriptError, UnicodeDecodeError) as error:
+        give_up(str(error))
+
+
 @lab.command()
 @click.argument("name", default="bad-day")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Start of all chance.")
@@ -71,7 +90,12 @@
 @click.option("--records", type=click.Path(file_okay=False), help="Keep the records in this folder.")
 @click.option("--quiet", is_flag=True, help="No progress.")
 @click.option("--virtual", is_flag=True, help="In one process and in virtual time, instead of processes on sockets.")
-def day(name: str, seed: int, as_json: bool, records: str | None, quiet: bool, virtual: bool) -> None:
+@click.option("--faults", type=click.Path(dir_okay=False), help="A script of faults between and in processes.")
+@click.option("--draw-faults", type=click.IntRange(1, 100), help="Draw so many faults by the seed instead.")
+def day(
+    name: str, seed: int, as_json: bool, records: str | None, quiet: bool, virtual: bool, faults: str | None,
+    draw_faults: int | None,
+) -> None:  # fmt: skip
     """Play a day, NAME or FILE, with a fleet of processes, and judge the rules from what crossed the sockets."""
     from pebblehinge.lab import village
     from pebblehinge.lab.check import Day
@@ -86,9 +110,10 @@
     if records is not None and any(Path(records).glob("*.jsonl")):
         give_up(f"{records} holds records of another day already")
     said = say_progress(quiet)
+    script = script_of(config, day_name, faults, draw_faults, seed)
 
     async def play(loop: asyncio.AbstractEventLoop, folder: Path) -> dict[str, Any]:
-        stage = Processes(loop, config, path, day_name, seed, folder, loopback, said)
+        stage = Processes(loop, config, path, day_name, seed, folder, loopback, said, script)
         try:
             return await stage.play()
         finally:
@@ -98,7 +123,7 @@
         folder = Path(records or temporary)
         try:
             if virtual:
-                stage, more = village.play(config, day_name, seed, said)
+                stage, more = village.play(config, day_name, seed, said, script=script)
                 if records is not None:
                     stage.write(folder)
                 facts = stage.facts()
@@ -108,7 +133,8 @@
                 facts = Day.read(folder, config)
         except (DayError, RecordsError, OSError) as error:
             give_up(describe(error))
-        told = summary(facts, day_name, seed, {"faults": more["faults"], "load_late_ms": round(more["late_ms"], 1)})
+        told = summary(facts, day_name, seed, {"faults": more["faults"], "load_late_ms": round(more["late_ms"], 1),
+                                               **more.get("script", {})})  # fmt: skip
     goal = config.day[day_name].goal
     missed = told["service"] < goal
     click.echo(json.dumps(told) if as_json else "\n".join(lines(told)))
--- a/pebblehinge/client/conn.py
+++ b/pebblehinge/client/conn.py
@@ -14,6 +14,7 @@
 from pebblehinge.wire.frames import BARRIER, FLUSH, READ, WRITE
 
 FINALS = ("honoured", "pushed back", "terminated")
+KEEPALIVE_MS = 5_000.0  # as the heads' own, unless their settings say otherwise
 LOST = "lost"  # the connection broke first: nothing is known of the effect
 OWN_TIME = "out of time"  # the client's patience ended with no answer, which no sound head lets happen
 
@@ -48,8 +49,9 @@
         stall_ms: float,
         role: str = "client",
         noted: Callable[..., None] | None = None,
+        keepalive_ms: float = KEEPALIVE_MS,
     ) -> None:
-        super().__init__(loop, Session(role, name, limit, streams, greets=True), stall_ms, 0.0)
+        super().__init__(loop, Session(role, name, limit, streams, greets=True), stall_ms, keepalive_ms)
         self.name = name
         self.noted = noted
         self.open: dict[int, tuple[asyncio.Future[Result], float, str, asyncio.TimerHandle]] = {}
@@ -192,12 +194,15 @@
     within_ms: float = 2_000.0,
     role: str = "client",
     noted: Callable[..., None] | None = None,
+    keepalive_ms: float = KEEPALIVE_MS,
 ) -> Client:
-    """A connected client; raises OSError (ConnectionError, TimeoutError) with the reason where it can't be had."""
+    """A connected client; raises OSError (ConnectionError, TimeoutError) with the reason where it can't be had. A
+    connection on which nothing has come for `keepalive_ms` is asked, and ends when three times that have passed: its
+    other end may be gone with nobody left to say so."""
     loop = loop or asyncio.get_running_loop()
     host, port = parse_address(address)
     deadline = loop.time() + within_ms / 1000.0
-    client = Client(loop, name, limit, streams, stall_ms, role, noted)
+    client = Client(loop, name, limit, streams, stall_ms, role, noted, keepalive_ms)
     try:
         async with asyncio.timeout_at(deadline):
             await loop.create_connection(lambda: client, host, port)
--- a/pebblehinge/lab/clients.py
+++ b/pebblehinge/lab/clients.py
@@ -60,7 +60,8 @@
                 try:
                     client = await connect(
                         self.config.head[head].listen, name=f"{self.name}", loop=self.loop, limit=limits.frame,
-                        streams=limits.streams, noted=lambda e, **v: self.records.note(self.clock(), e, **v),
+                        streams=limits.streams, keepalive_ms=limits.keepalive,
+                        noted=lambda e, **v: self.records.note(self.clock(), e, **v),
                     )  # fmt: skip
                     self.conns[head] = client
                     self.records.note(self.clock(), "connected", head=head)
--- /dev/null
+++ b/pebblehinge/lab/faults/draw.py
@@ -0,0 +1,105 @@
+"""Scripts drawn by seed, and shrunk to the fewest lines that still show something. No I/O and no clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pebblehinge.lab.faults.script import BOTH, KINDS, PROCESS, Fault, read, write
+from pebblehinge.settings import Config
+
+# How long a drawn fault lasts, ms, and its figure: from mild to strong.
+LONG = {"kill": (300.0, 4000.0), "freeze": (100.0, 6000.0)}
+USUAL = (400.0, 5000.0)
+BY = {
+    "delay": (20.0, 1500.0), "slow": (2048.0, 65536.0), "lose": (0.05, 0.9), "repeat": (0.05, 0.9),
+    "drift": (-0.002, 0.002), "wall": (-20_000.0, 20_000.0), "disk-slow": (5.0, 400.0),
+}  # fmt: skip
+DATAGRAMS = ("lose", "repeat")
+WEIGHTS = {"cut": 5, "silent": 4, "kill": 5, "freeze": 4, "delay": 3, "reset": 3, "half-open": 2}
+
+
+@dataclass(slots=True, frozen=True)
+class Cast:
+    """Who there is. Disks and clocks are struck at heads and instances alone: shelfs and loads are the judge's eyes."""
+
+    heads: tuple[str, ...]
+    shelfs: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
+    rest: tuple[str, ...] = ()  # the list, loads
+    together: bool = False  # heads speak to each other, by datagrams too
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        return (*self.heads, *self.shelfs, *self.members, *self.rest)
+
+
+def cast_of(config: Config) -> Cast:
+    """Everyone who stands in a day's settings."""
+    loads = tuple(f"load{n + 1}" for n in range(config.load.processes))
+    return Cast(tuple(config.head), tuple(config.shelf), tuple(config.member), ("listing", *loads))
+
+
+def draw(cast: Cast, seed: int, length_ms: float, count: int = 6, without: tuple[str, ...] = ()) -> list[Fault]:
+    """So many faults that overlap in the middle of a run, all over before its last eighth."""
+    rng = random.Random(f"{seed}/faults")
+    kinds = [k for k in KINDS if k not in without and (cast.together or k not in DATAGRAMS)]
+    own = [*cast.heads, *cast.members]
+    found: list[Fault] = []
+    while len(found) < count:
+        kind = rng.choices(kinds, [WEIGHTS.get(k, 2) for k in kinds])[0]
+        form, unit, lasts = KINDS[kind]
+        at = round(rng.uniform(0.1, 0.7) * length_ms)
+        last = round(min(rng.uniform(*LONG.get(kind, USUAL)), 0.875 * length_ms - at)) if lasts else 0
+        low, high = BY.get(kind, (0.0, 0.0))
+        by = rng.uniform(low, high)
+        by = 0.0 if unit is None else round(by, 4) if unit == "%" else float(round(by))
+        folder, old, others = "", 0, ()
+        if form == PROCESS:
+            pool = own if kind not in ("kill", "freeze") else [*own, *cast.shelfs]
+            some = tuple(rng.sample(pool, min(len(pool), rng.choice((1, 1, 2)))))
+            if kind == "kill" and all(n in cast.heads for n in some):  # an instance that forgets is beyond Raft
+                folder = rng.choice(("", "", "old", "empty"))
+                old = round(rng.uniform(0.1, 0.9) * at) if folder == "old" else 0
+        else:
+            some, others = _sides(cast, rng, form == BOTH and kind == "cut")
+        if (last or not lasts) and (by or unit is None):
+            found.append(Fault(float(at), kind, some, others, by, float(last), folder, float(old)))
+    # Written and read: what is played is what its text says.
+    return read(write(found), cast.names)
+
+
+def _sides(cast: Cast, rng: random.Random, halves: bool) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Two ends that speak to each other; for cuts, now and then the fleet in two."""
+    if halves and rng.random() < 0.4 and len(cast.heads) > 1:
+        everyone = [*cast.heads, *cast.members]
+        rng.shuffle(everyone)
+        half = max(1, len(everyone) // 2)
+        return tuple(sorted(everyone[:half])), tuple(sorted(everyone[half:]))
+    head = rng.choice(cast.heads)
+    others = tuple(h for h in cast.heads if h != head) if cast.together else ()
+    pools = [p for p in (cast.shelfs, cast.members, cast.rest, others) if p]
+    other = rng.choice(rng.choice(pools))
+    if len(cast.members) > 1 and rng.random() < 0.2:
+        head, other = rng.sample(cast.members, 2)
+    return ((head,), (other,)) if rng.random() < 0.5 else ((other,), (head,))
+
+
+def shrink(faults: list[Fault], shows: Callable[[list[Fault]], bool], tries: int = 200) -> list[Fault]:
+    """The same with as many lines left out as can be, in halves, then one by one. `shows` plays a script and says
+    whether what was found is still there; it is called at most so often."""
+    size = max(1, len(faults) // 2)
+    while tries:
+        at, gone = 0, False
+        while at < len(faults) and tries:
+            fewer = faults[:at] + faults[at + size :]
+            tries -= 1
+            if fewer != faults and shows(fewer):
+                faults, gone = fewer, True
+            else:
+                at += size
+        if size == 1 and not gone:
+            break
+        size = max(1, size // 2)
+    return faults
--- /dev/null
+++ b/pebblehinge/lab/faults/ends.py
@@ -0,0 +1,144 @@
+"""Connections on their way through the relay: bytes in order, ends told when the way lets them be."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from typing import Any, Protocol
+
+from pebblehinge.lab.faults.ways import Held
+
+MOST_HELD = 1 << 16  # bytes of one direction that stand here before its sender is no longer read
+
+
+class Through(Protocol):
+    """The relay that an end belongs to."""
+
+    loop: asyncio.AbstractEventLoop
+    ends: dict[End, None]
+    count: dict[tuple[str, str], int]
+
+    def held(self, source: str, to: str) -> Held: ...
+
+
+class End(asyncio.Protocol):
+    """One side of a connection that passes: what comes in here goes out at `other`, when the way lets it."""
+
+    def __init__(self, relay: Through, source: str, to: str) -> None:
+        self.relay, self.source, self.to = relay, source, to
+        self.transport: Any = None
+        self.other: End | None = None
+        self.queue: deque[tuple[float, str, bytes]] = deque()  # when it may go; data, eof, closed or broken
+        self.held = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.paused = self.stuck = False  # not read; what goes out here is not taken
+        self.got_eof = self.sent_eof = self.over = self.alone = False  # alone: half open, what comes is nobody's
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.relay.ends[self] = None
+
+    def data_received(self, data: bytes) -> None:
+        self.put("data", data)
+
+    def eof_received(self) -> bool:
+        self.got_eof = True
+        self.put("eof")
+        self._close_if_done()
+        return not self.alone  # the other direction may go on, where there is one
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.over = True
+        self.put("closed" if exc is None else "broken")
+
+    def put(self, what: str, data: bytes = b"") -> None:
+        relay = self.relay
+        relay.count[(self.source, self.to)] += 1
+        if self.alone:
+            self._forget()
+            return
+        held = relay.held(self.source, self.to)
+        self.queue.append((relay.loop.time() + held.delay_ms / 1000.0, what, data))
+        self.held += len(data)
+        if self.held > MOST_HELD and not self.paused and not self.over:
+            self.paused = True
+            self.transport.pause_reading()
+        self.push()
+
+    def push(self) -> None:
+        """Hands on what may go now, and comes again for the rest."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        relay, other = self.relay, self.other
+        while self.queue and other is not None and not other.stuck:
+            held = relay.held(self.source, self.to)
+            if held.blocked:
+                return
+            at, what, data = self.queue[0]
+            wait = at - relay.loop.time()
+            if wait > 0:
+                self.timer = relay.loop.call_later(wait, self.push)
+                return
+            self.queue.popleft()
+            some = data[: max(1, int(held.rate / 100.0))] if held.rate and data else data
+            if len(some) < len(data):
+                self.queue.appendleft((relay.loop.time() + 0.01, what, data[len(some) :]))
+            self.held -= len(some)
+            other.take(what, some)
+        if self.paused and self.held <= MOST_HELD // 2 and not self.over:
+            self.paused = False
+            self.transport.resume_reading()
+        self._forget()
+
+    def take(self, what: str, data: bytes) -> None:
+        """Something from the other side goes out here."""
+        if self.over or self.transport.is_closing():
+            return
+        if what == "data":
+            self.transport.write(data)
+        elif what == "eof":
+            self.sent_eof = True
+            self.transport.write_eof()
+            self._close_if_done()
+        elif what == "closed":
+            self.transport.close()
+        else:
+            reset(self.transport)
+
+    def _close_if_done(self) -> None:
+        if self.got_eof and self.sent_eof and not self.over:
+            self.transport.close()
+
+    def _forget(self) -> None:
+        """A side that is over, with nothing left to hand on, is kept no longer."""
+        if self.over and not self.queue:
+            self.relay.ends.pop(self, None)
+
+    def pause_writing(self) -> None:
+        self.stuck = True
+
+    def resume_writing(self) -> None:
+        self.stuck = False
+        if self.other is not None:
+            self.other.push()
+
+    def cut_off(self) -> None:
+        """This side ends as by a reset, the other side is not told and what it sends is nobody's."""
+        if self.other is not None:
+            self.other.alone = True
+            self.other.queue.clear()
+        self.alone = True
+        self.queue.clear()
+        if not self.over:
+            reset(self.transport)
+
+
+def reset(transport: Any) -> None:
+    """Closes so that the other end is told of a reset, whatever it had not read."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- /dev/null
+++ b/pebblehinge/lab/faults/ground.py
@@ -0,0 +1,151 @@
+"""The ground of processes: a relay between them, a launcher under each, a copy of a folder now and then."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Protocol
+
+from pebblehinge.lab.faults.relay import Relay
+from pebblehinge.lab.faults.ways import Held
+from pebblehinge.settings import Config
+
+RELEASES = 8  # further addresses of one shelf's slot that are known by the shelf's name
+
+
+def names_of(config: Config) -> dict[str, str]:
+    """Whose each listening address is."""
+    found = {config.listing.listen: "listing"}
+    for blocks in (config.head, config.member):
+        found |= {block.listen: name for name, block in blocks.items()}
+    for name, shelf in config.shelf.items():
+        host, _, port = shelf.listen.rpartition(":")
+        found |= {f"{host}:{int(port) + 1000 * n}": name for n in range(RELEASES)}
+    return found
+
+
+class Fleet(Protocol):
+    """The processes that are struck."""
+
+    script: Any
+    processes: dict[str, asyncio.subprocess.Process]
+    frozen: set[str]
+    state: Path
+
+    def is_up(self, name: str) -> bool: ...
+    async def strike(self, verb: str, name: str) -> None: ...
+
+
+class ProcessGround:
+    """Without a script, processes are started as ever and nothing of this is there."""
+
+    def __init__(
+        self, fleet: Fleet, loop: asyncio.AbstractEventLoop, names: dict[str, str], seed: int, copies: Path
+    ) -> None:
+        self.fleet, self.loop, self.copies = fleet, loop, copies
+        self.relay = Relay(loop, names, seed)
+        self.controls: dict[str, int] = {}
+
+    async def start(self, host: str) -> None:
+        await self.relay.start(host)
+
+    def close(self) -> None:
+        if self.relay.server is not None:
+            self.relay.close()
+        for descriptor in self.controls.values():
+            os.close(descriptor)
+        self.controls.clear()
+
+    @contextmanager
+    def control(self, name: str) -> Iterator[tuple[Callable[[list[str]], list[str]], tuple[int, ...]]]:
+        """How to start a process: its whole command from its words, and the descriptors that it gets."""
+        if self.fleet.script is None:
+            yield lambda words: [sys.executable, "-m", "pebblehinge", *words], ()
+            return
+        theirs, ours = os.pipe()
+        old = self.controls.pop(name, None)
+        if old is not None:
+            os.close(old)
+        self.controls[name] = ours
+        where = {"name": name, "relay": self.relay.address, "datagrams": self.relay.datagrams, "control": theirs}
+        launcher = [sys.executable, "-m", "pebblehinge.lab.faults.under", json.dumps(where), "--"]
+        try:
+            yield lambda words: [*launcher, *words], (theirs,)
+        finally:
+            os.close(theirs)
+
+    # ---- processes
+
+    def is_up(self, name: str) -> bool:
+        return self.fleet.is_up(name)
+
+    async def down(self, name: str) -> None:
+        await self.fleet.strike("kill", name)
+
+    async def again(self, name: str) -> None:
+        await self.fleet.strike("start", name)
+
+    async def stand(self, name: str) -> None:
+        await self.fleet.strike("freeze", name)
+
+    async def go_on(self, name: str) -> None:
+        await self.fleet.strike("thaw", name)
+
+    def copy(self, name: str, mark: str) -> None:
+        """Stopped while it is copied: what is copied is what a crash could have left."""
+        stops = self.is_up(name) and name not in self.fleet.frozen
+        if stops:
+            self.fleet.processes[name].send_signal(signal.SIGSTOP)
+            self._wait_until_stopped(self.fleet.processes[name].pid)
+        try:
+            if (self.fleet.state / name).exists():
+                shutil.copytree(self.fleet.state / name, self.copies / name / mark, dirs_exist_ok=True)
+        finally:
+            if stops:
+                self.fleet.processes[name].send_signal(signal.SIGCONT)
+
+    @staticmethod
+    def _wait_until_stopped(pid: int) -> None:
+        """A signal takes its time; where the system does not tell, a tenth of a second is all."""
+        for _ in range(100):
+            try:
+                if Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] in ("T", "Z"):
+                    return
+            except OSError:
+                pass
+            time.sleep(0.001)
+
+    def go_back(self, name: str, mark: str) -> None:
+        folder, kept = self.fleet.state / name, self.copies / name / mark
+        shutil.rmtree(folder, ignore_errors=True)
+        if mark and kept.exists():
+            shutil.copytree(kept, folder)
+
+    def set(self, name: str, kind: str, by: float | None) -> None:
+        if name in self.controls and self.is_up(name):
+            try:
+                os.write(self.controls[name], f"{kind} {'' if by is None else by}\n".encode())
+            except BrokenPipeError:
+                pass  # it has just ended
+
+    # ---- ways
+
+    def way(self, source: str, to: str, held: Held) -> None:
+        self.relay.way(source, to, held)
+
+    def tried(self, source: str, to: str) -> int:
+        return self.relay.count[(source, to)]
+
+    def reset(self, a: str, b: str) -> int:
+        return self.relay.reset(a, b)
+
+    def half_open(self, a: str, b: str) -> int:
+        return self.relay.half_open(a, b)
--- /dev/null
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -0,0 +1,122 @@
+"""The ground of virtual time: ways of the network in memory, nodes, disks that forget what was not synced."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pebblehinge.agreed import Taking
+from pebblehinge.agreed.activation import cut_off
+from pebblehinge.agreed.feed import Feed
+from pebblehinge.lab.disk import FaultyDisk
+from pebblehinge.lab.faults.ways import Held
+from pebblehinge.lab.virtual import Node, VirtualLoop
+from pebblehinge.settings import Config
+
+AGREED = "agreed"  # the file in which a head keeps the version that it took up
+
+
+def clock_of(node: Node) -> Callable[[], float]:
+    """The node's own clock, ms."""
+    return lambda: node.time() * 1000.0
+
+
+def join(
+    node: Node, clock: Callable[[], float], config: Config, name: str, head: Any, disk: FaultyDisk, log: Any
+) -> Feed:
+    """A head's way to the group, as the command line makes it."""
+    floor = config.group.floor
+    taking = Taking(name, floor)
+    if disk.exists(AGREED):
+        taking = Taking.restore(name, floor, disk.read(AGREED))
+    head.adopt(cut_off(config, floor))
+    feed = Feed(node, clock, config, taking, lambda new, mode: head.adopt(new), lambda data: disk.replace(AGREED, data),
+                log)  # fmt: skip
+    feed.start()
+    return feed
+
+
+class Fleet(Protocol):
+    nodes: dict[str, Node]
+
+    def is_up(self, name: str) -> bool: ...
+    async def strike(self, verb: str, name: str) -> None: ...
+
+
+class VillageGround:
+    """A slow disk is not here: no time passes within a call of a node."""
+
+    def __init__(self, fleet: Fleet, world: VirtualLoop) -> None:
+        self.fleet, self.world = fleet, world
+        self.disks: dict[str, FaultyDisk] = {}
+        self.copies: dict[tuple[str, str], FaultyDisk] = {}
+        self.walls: dict[str, float] = {}
+
+    def disk(self, name: str, seed: int) -> FaultyDisk:
+        if name not in self.disks:
+            self.disks[name] = FaultyDisk(random.Random(f"{seed}/{name}"))
+        return self.disks[name]
+
+    def wall_of(self, name: str) -> Callable[[], float]:
+        """By how much its wall clock is off, ms."""
+        return lambda: self.walls.get(name, 0.0)
+
+    def killed(self, name: str) -> None:
+        if name in self.disks:
+            self.disks[name].crash()
+
+    # ---- processes
+
+    def is_up(self, name: str) -> bool:
+        return self.fleet.is_up(name)
+
+    async def down(self, name: str) -> None:
+        await self.fleet.strike("kill", name)
+
+    async def again(self, name: str) -> None:
+        await self.fleet.strike("start", name)
+
+    async def stand(self, name: str) -> None:
+        await self.fleet.strike("freeze", name)
+
+    async def go_on(self, name: str) -> None:
+        await self.fleet.strike("thaw", name)
+
+    def copy(self, name: str, mark: str) -> None:
+        if name in self.disks:
+            self.copies[(name, mark)] = copy.deepcopy(self.disks[name])
+            self.copies[(name, mark)].crash()
+
+    def go_back(self, name: str, mark: str) -> None:
+        old, kept = self.disks.get(name), self.copies.get((name, mark))
+        if old is not None:
+            old.files, old.synced = ({}, {}) if kept is None else copy.deepcopy((kept.files, kept.synced))
+
+    def set(self, name: str, kind: str, by: float | None) -> None:
+        if kind == "drift":
+            self.fleet.nodes[name].drift(1.0 + (by or 0.0))
+        elif kind == "wall":
+            self.walls[name] = by or 0.0
+        elif name in self.disks and kind != "disk-slow":
+            self.disks[name].fail = "" if by is None else "append" if kind == "disk-full" else "sync"
+
+    # ---- ways
+
+    def way(self, source: str, to: str, held: Held) -> None:
+        net = self.world.net
+        way, usual = net.own_way(source, to), net.usual
+        way.blocked, way.rate = held.blocked, held.rate / 1000.0
+        way.delay_ms, way.drop, way.twice = usual.delay_ms + held.delay_ms, held.lose, held.repeat
+        for pipe in net.between(source, to):
+            pipe.go_on()
+
+    def tried(self, source: str, to: str) -> int:
+        return self.world.net.tried[(source, to)]
+
+    def reset(self, a: str, b: str) -> int:
+        return self.world.net.reset(a, b)
+
+    def half_open(self, a: str, b: str) -> int:
+        return self.world.net.half_open(a, b)
--- /dev/null
+++ b/pebblehinge/lab/faults/player.py
@@ -0,0 +1,130 @@
+"""Does the steps of a script on a ground, wherever the fleet lives, and counts what each line struck."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pebblehinge.lab.faults.script import KINDS, PROCESS, Fault, Step, steps, write
+from pebblehinge.lab.faults.ways import Held, Ways
+
+
+class Ground(Protocol):
+    """A fleet that can be struck. Names are those of the script; what is not up is passed over."""
+
+    def is_up(self, name: str) -> bool: ...
+    async def down(self, name: str) -> None: ...  # SIGKILL
+    async def again(self, name: str) -> None: ...  # starts with the folder that it has
+    async def stand(self, name: str) -> None: ...  # SIGSTOP
+    async def go_on(self, name: str) -> None: ...
+    def copy(self, name: str, mark: str) -> None: ...  # keeps its folder as it is now
+    def go_back(self, name: str, mark: str) -> None: ...  # puts that in its place; "" for none
+    def way(self, source: str, to: str, held: Held) -> None: ...
+    def tried(self, source: str, to: str) -> int: ...  # how often something wanted to pass, ever
+    def reset(self, a: str, b: str) -> int: ...  # how many connections there were
+    def half_open(self, a: str, b: str) -> int: ...
+    def set(self, name: str, kind: str, by: float | None) -> None: ...  # clock or disk; None: sound again
+
+
+class Player:
+    """One script. Overlapping faults of one process end with the last of them."""
+
+    def __init__(
+        self, ground: Ground, faults: list[Fault], clock: Callable[[], float], note: Callable[..., None]
+    ) -> None:
+        self.ground, self.faults, self.clock, self.note = ground, faults, clock, note
+        self.ways = Ways()
+        self.struck = dict.fromkeys(faults, 0)
+        self.before: dict[Fault, int] = {}
+        self.under_way: dict[tuple[str, str], list[Fault]] = {}  # of processes, by name and kind
+
+    async def play(self, start_ms: float) -> None:
+        """Every step at its time after the start, on the clock that was handed in."""
+        doing = []
+        for step in steps(self.faults):
+            await asyncio.sleep(max(0.0, (start_ms + step.at_ms - self.clock()) / 1000.0))
+            doing.append(asyncio.ensure_future(self.do(step)))
+            await asyncio.sleep(0)  # its first part is done before the next step's
+        await asyncio.gather(*doing)
+
+    def idle(self) -> list[str]:
+        """Lines that struck nothing."""
+        return [write([f]).strip() for f, count in self.struck.items() if not count]
+
+    async def do(self, step: Step) -> None:
+        fault = step.fault
+        self.note(self.clock(), "fault", what=step.what, line=write([fault]).strip())
+        if step.what == "copy":
+            for name in fault.some:
+                self.ground.copy(name, self._mark(fault))
+        elif KINDS[fault.kind][0] == PROCESS:
+            for name in fault.some:
+                await self._process(step.what, name, fault)
+        elif not KINDS[fault.kind][2]:
+            call = self.ground.reset if fault.kind == "reset" else self.ground.half_open
+            for a in fault.some:
+                for b in fault.others:
+                    self.note(self.clock(), "cut off", a=a, b=b)
+                    self.struck[fault] += call(a, b)
+        else:
+            self._way(step.what, fault)
+
+    # ---- ways
+
+    def _way(self, what: str, fault: Fault) -> None:
+        if what == "begin":
+            self.before[fault] = sum(self.ground.tried(a, b) for a, b in Ways.pairs(fault))
+            altered = self.ways.begin(fault)
+        else:
+            self.struck[fault] += sum(self.ground.tried(a, b) for a, b in Ways.pairs(fault)) - self.before[fault]
+            altered = self.ways.end(fault)
+        for a, b in altered:
+            held = self.ways.between(a, b)
+            self.note(self.clock(), "way", a=a, b=b, held=not held.sound, blocked=held.blocked, delay=held.delay_ms,
+                      rate=held.rate)  # fmt: skip
+            self.ground.way(a, b, held)
+
+    # ---- processes
+
+    def _mark(self, fault: Fault) -> str:
+        return f"{fault.at_ms:g}-{fault.old_ms:g}" if fault.folder == "old" else ""
+
+    async def _process(self, what: str, name: str, fault: Fault) -> None:
+        rows = self.under_way.setdefault((name, fault.kind), [])
+        if what == "begin":
+            rows.append(fault)
+            self.struck[fault] += self.ground.is_up(name)
+        elif fault in rows:
+            rows.remove(fault)
+        if fault.kind == "kill":
+            if what == "begin":
+                await self.ground.down(name)
+                if fault.folder and not self.ground.is_up(name):
+                    self.ground.go_back(name, self._mark(fault))
+            elif not rows:
+                await self.ground.again(name)
+                self._settle(name)
+        elif fault.kind == "freeze":
+            if what == "begin":
+                await self.ground.stand(name)
+            elif not rows:
+                await self.ground.go_on(name)
+        else:
+            self.ground.set(name, fault.kind, rows[-1].by if rows else None)
+            if not rows and not self.ground.is_up(name) and not self.under_way.get((name, "kill")):
+                # A process that can't write says so and ends: whoever looks after it starts it when the disk is well.
+                await self.ground.again(name)
+                self._settle(name)
+
+    def _settle(self, name: str) -> None:
+        """A new process stands under what is still under way for its name."""
+        for (of, kind), rows in self.under_way.items():
+            if of == name and rows and kind not in ("kill", "freeze"):
+                self.ground.set(name, kind, rows[-1].by)
+
+
+def told(player: Player) -> dict[str, Any]:
+    """What a script did, for a report."""
+    return {"scripted": len(player.faults), "struck": sum(1 for n in player.struck.values() if n),
+            "idle": player.idle()}  # fmt: skip
--- /dev/null
+++ b/pebblehinge/lab/faults/relay.py
@@ -0,0 +1,177 @@
+"""The relay through which processes of a fleet reach each other: TCP connections and datagrams, by pair and direction.
+
+A process that was started by `under` leads each outgoing connection here and says in one line who it is and whom it
+wants. The relay connects onward and answers with one byte, so that a refusal is a refusal; a cut way says nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any
+
+from pebblehinge.lab.faults.ends import End
+from pebblehinge.lab.faults.ways import SOUND, Held
+
+MOST_LINE = 512
+CONNECTED, REFUSED = b"+", b"-"
+
+
+class Asking(asyncio.Protocol):
+    """A connection that has not said yet whom it wants."""
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay, self.line = relay, b""
+        self.transport: Any = None
+        self.end: End | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self.end is not None:
+            self.end.data_received(data)
+            return
+        self.line += data
+        if b"\n" in self.line:
+            line, _, rest = self.line.partition(b"\n")
+            words = line.decode("utf-8", "replace").split(" ")
+            if len(words) == 3 and words[2].isdigit() and not rest:
+                self.relay.loop.create_task(self._connect(words[0], words[1], int(words[2])))
+                return
+            self.transport.abort()
+        elif len(self.line) > MOST_LINE:
+            self.transport.abort()
+
+    async def _connect(self, source: str, host: str, port: int) -> None:
+        relay = self.relay
+        to = relay.names.get(f"{host}:{port}", f"{host}:{port}")
+        relay.count[(source, to)] += 1
+        await relay.passable(source, to)
+        await relay.passable(to, source)
+        if self.transport.is_closing():
+            return
+        far = End(relay, to, source)
+        try:
+            await relay.loop.create_connection(lambda: far, host, port)
+        except OSError:
+            self.transport.write(REFUSED)
+            self.transport.close()
+            return
+        near = End(relay, source, to)
+        near.other, far.other = far, near
+        if self.transport.is_closing():
+            far.cut_off()
+            return
+        near.connection_made(self.transport)
+        self.transport.set_protocol(near)
+        self.transport.write(CONNECTED)
+        far.push()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        pass
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Datagrams on their way: `source host port own_host own_port`, a line end, then what is carried."""
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay = relay
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        head, _, rest = data.partition(b"\n")
+        words = head.decode("utf-8", "replace").split(" ")
+        if len(words) != 5 or not (words[2].isdigit() and words[4].isdigit()):
+            return
+        source, host, port = words[0], words[1], int(words[2])
+        relay = self.relay
+        to = relay.names.get(f"{host}:{port}", f"{host}:{port}")
+        relay.count[(source, to)] += 1
+        held = relay.held(source, to)
+        if held.blocked or (held.lose and relay.rng.random() < held.lose):
+            return
+        told = f"{words[3]} {words[4]}\n".encode() + rest
+        for _ in range(2 if held.repeat and relay.rng.random() < held.repeat else 1):
+            relay.loop.call_later(held.delay_ms / 1000.0, self._go, told, (host, port))
+
+    def _go(self, data: bytes, to: tuple[str, int]) -> None:
+        if not self.transport.is_closing():
+            self.transport.sendto(data, to)
+
+
+class Relay:
+    """Everything that passes. `names` says whose each listening address is."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, names: dict[str, str], seed: int) -> None:
+        self.loop, self.names, self.rng = loop, names, random.Random(f"{seed}/relay")
+        self.ways: dict[tuple[str, str], Held] = {}
+        self.ends: dict[End, None] = {}
+        self.count: Counter[tuple[str, str]] = Counter()
+        self.waiting: dict[tuple[str, str], list[asyncio.Future[None]]] = {}
+        self.server: Any = None
+        self.udp: Any = None
+        self.late_ms = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.address = self.datagrams = ("", 0)
+
+    async def start(self, host: str) -> None:
+        """Listens on free ports of a host."""
+        self.server = await self.loop.create_server(lambda: Asking(self), host, 0, backlog=4096)
+        self.address = self.server.sockets[0].getsockname()[:2]
+        self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(self), local_addr=(host, 0))
+        self.datagrams = self.udp.get_extra_info("sockname")[:2]
+        self._look(self.loop.time())
+
+    def _look(self, expected: float) -> None:
+        """How late this loop is: what passes is late by as much."""
+        self.late_ms = max(self.late_ms, (self.loop.time() - expected) * 1000.0)
+        at = self.loop.time() + 0.02
+        self.timer = self.loop.call_at(at, self._look, at)
+
+    def close(self) -> None:
+        self.server.close()
+        self.udp.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for end in list(self.ends):
+            end.cut_off()
+
+    def way(self, source: str, to: str, held: Held) -> None:
+        """This direction is so from now on."""
+        self.ways[(source, to)] = held
+        if not held.blocked:
+            for future in self.waiting.pop((source, to), []):
+                if not future.done():
+                    future.set_result(None)
+        for end in [e for e in self.ends if (e.source, e.to) == (source, to)]:
+            end.push()
+
+    async def passable(self, source: str, to: str) -> None:
+        while self.held(source, to).blocked:
+            future = self.loop.create_future()
+            self.waiting.setdefault((source, to), []).append(future)
+            await future
+
+    def held(self, source: str, to: str) -> Held:
+        return self.ways.get((source, to), SOUND)
+
+    def between(self, a: str, b: str) -> list[End]:
+        return [e for e in self.ends if {e.source, e.to} == {a, b}]
+
+    def reset(self, a: str, b: str) -> int:
+        found = self.between(a, b)
+        for end in found:
+            end.cut_off()
+        return len(found) // 2
+
+    def half_open(self, a: str, b: str) -> int:
+        """Ends b's side of each connection between them; a's stays, and takes what is sent to nobody."""
+        found = [e for e in self.between(a, b) if e.source == b and not e.alone]
+        for end in found:
+            end.cut_off()
+        return len(found)
--- /dev/null
+++ b/pebblehinge/lab/memnet.py
@@ -0,0 +1,136 @@
+"""A network in memory: listening addresses, and the ways between nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pebblehinge.lab.mempipes import Listener, MemDatagrams, MemTransport, Pipe
+
+
+@dataclass(slots=True)
+class Way:
+    """How bytes go from one node to another."""
+
+    delay_ms: float = 0.2
+    jitter: float = 0.2  # part of the delay, drawn anew for each write
+    rate: float = 0.0  # bytes a millisecond; 0: as fast as the delay allows
+    blocked: bool = False  # a partition: what is sent stays on the way until it heals
+    lose: float = 0.0  # chance that a connection breaks at a write
+    cut_after: int | None = None  # a reset after so many more bytes, in the middle of a frame if need be
+    drop: float = 0.0  # chance of a datagram to be lost
+    twice: float = 0.0  # chance of one to come twice
+
+
+class Net:
+    """Listening addresses and the ways between nodes."""
+
+    def __init__(self, loop: Any, seed: int) -> None:
+        self.loop = loop
+        self.rng = random.Random(f"{seed}/net")
+        self.listening: dict[tuple[str, int], tuple[Any, Callable[[], Any], Listener]] = {}
+        self.ways: dict[tuple[str, str], Way] = {}
+        self.usual = Way()
+        self.pipes: dict[Pipe, None] = {}
+        self.bound: dict[tuple[str, int], MemDatagrams] = {}
+        self.tried: Counter[tuple[str, str]] = Counter()  # what wanted to pass, by direction
+
+    def way(self, source: str, to: str) -> Way:
+        return self.ways.get((source, to), self.usual)
+
+    def own_way(self, source: str, to: str) -> Way:
+        """The way of this pair alone, to be altered."""
+        if (source, to) not in self.ways:
+            u = self.usual
+            self.ways[(source, to)] = replace(u)
+        return self.ways[(source, to)]
+
+    def partition(self, some: list[str], others: list[str], both: bool = True) -> None:
+        """Nothing of `some` reaches `others`; with `both`, nor the other way."""
+        for a in some:
+            for b in others:
+                self.own_way(a, b).blocked = True
+                if both:
+                    self.own_way(b, a).blocked = True
+
+    def heal(self, some: list[str], others: list[str]) -> None:
+        """What stood on the way goes on, as TCP would send it again."""
+        for a in some:
+            for b in others:
+                self.own_way(a, b).blocked = False
+                self.own_way(b, a).blocked = False
+        for pipe in list(self.pipes):
+            pipe.go_on()
+
+    def delay(self, way: Way) -> float:
+        return way.delay_ms * (1.0 + way.jitter * self.rng.random()) / 1000.0
+
+    async def connect(self, node: Any, factory: Callable[[], Any], host: str, port: int) -> tuple[Any, Any]:
+        key = (host, port)
+        there = self.listening.get(key)
+        name = there[0].name if there else host
+        self.tried[(node.name, name)] += 1
+        there_way, back = self.way(node.name, name), self.way(name, node.name)
+        if there_way.blocked or back.blocked:
+            await asyncio.sleep(20.0)
+            raise TimeoutError(f"{host}:{port}: no answer")
+        await asyncio.sleep(self.delay(there_way) + self.delay(back))
+        there = self.listening.get(key)
+        if there is None or there[0].dead:
+            raise ConnectionRefusedError(111, f"{host}:{port}: connection refused")
+        if node.dead:
+            raise ConnectionAbortedError("the node is gone")
+        other, make, _ = there
+        protocol, answering = factory(), make()
+        ours, theirs = MemTransport(node, protocol, key), MemTransport(other, answering, (node.name, 0))
+        ours.out, theirs.out = Pipe(self, ours, theirs), Pipe(self, theirs, ours)
+        # A frozen process has its connections accepted all the same; it hears of them when it thaws.
+        other.call_soon(answering.connection_made, theirs)
+        protocol.connection_made(ours)
+        return ours, protocol
+
+    def between(self, a: str, b: str) -> list[Pipe]:
+        """The directions of all connections between two nodes."""
+        return [p for p in self.pipes if {p.source.node.name, p.to.node.name} == {a, b}]
+
+    def reset(self, a: str, b: str) -> int:
+        """All connections between them end, told to both; how many there were."""
+        found = [p for p in self.between(a, b) if p.source.node.name == a and not p.source.lost]
+        for pipe in found:
+            pipe.cut_off()
+        return len(found)
+
+    def half_open(self, a: str, b: str) -> int:
+        """All connections between them end, told to b alone: a believes that they stand."""
+        found = [p for p in self.between(a, b) if p.source.node.name == a and not p.to.lost]
+        for pipe in found:
+            pipe.to.lose(ConnectionResetError(104, "connection reset"))
+        return len(found)
+
+    # ---- datagrams
+
+    def bind(self, node: Any, protocol: Any, address: tuple[str, int]) -> MemDatagrams:
+        if address in self.bound:
+            raise OSError(98, f"{address[0]}:{address[1]}: address already in use")
+        end = self.bound[address] = MemDatagrams(node, protocol, address)
+        return end
+
+    def unbind(self, end: MemDatagrams) -> None:
+        if self.bound.get(end.address) is end:
+            del self.bound[end.address]
+
+    def throw(self, end: MemDatagrams, data: bytes, to: tuple[str, int]) -> None:
+        """A datagram leaves: it comes once, twice or not at all, each with a delay of its own."""
+        there = self.bound.get(to)
+        if there is None:
+            return
+        self.tried[(end.node.name, there.node.name)] += 1
+        way = self.way(end.node.name, there.node.name)
+        if way.blocked or (way.drop and self.rng.random() < way.drop):
+            return
+        for _ in range(2 if way.twice and self.rng.random() < way.twice else 1):
+            self.loop.call_at(self.loop.now + self.delay(way), there.caught, data, end.address)
--- /dev/null
+++ b/pebblehinge/lab/mempipes.py
@@ -0,0 +1,225 @@
+"""Connections and datagrams of a network in memory: bytes in order, with what their way does to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+HIGH_WATER = 1 << 16  # unread bytes of one direction at which the writer is paused
+LOW_WATER = 1 << 14
+MOST_WAITING = 512  # datagrams that a process has not taken; what comes beyond is lost, as in a socket's buffer
+
+
+class Listener:
+    """What create_server gives."""
+
+    def __init__(self, net: Any, key: tuple[str, int]) -> None:
+        self.net, self.key = net, key
+        self.sockets: list[Any] = []
+
+    def close(self) -> None:
+        mine = self.net.listening.get(self.key)
+        if mine is not None and mine[2] is self:
+            del self.net.listening[self.key]
+
+    async def wait_closed(self) -> None:
+        pass
+
+
+class Pipe:
+    """One direction of a connection: bytes in order, with what the way does to them."""
+
+    def __init__(self, net: Any, source: MemTransport, to: MemTransport) -> None:
+        self.net, self.source, self.to = net, source, to
+        self.queue: deque[tuple[bytes | None, str]] = deque()  # bytes, or None for an end of kind eof or reset
+        self.unread = 0
+        self.free_at = 0.0  # when the way has taken what was written before
+        self.moving = False
+        net.pipes[self] = None
+
+    def put(self, data: bytes | None, kind: str = "data") -> None:
+        self.net.tried[(self.source.node.name, self.to.node.name)] += 1
+        self.queue.append((data, kind))
+        if data is not None:
+            self.unread += len(data)
+            if self.unread > HIGH_WATER and not self.source.writer_paused:
+                self.source.writer_paused = True
+                self.source.node.call_soon(self.source.protocol.pause_writing)
+        self.go_on()
+
+    def go_on(self) -> None:
+        """Sets the first of the queue on its way, unless one is or nothing passes."""
+        if self.moving or not self.queue or self.to.reading_paused:
+            return
+        way = self.net.way(self.source.node.name, self.to.node.name)
+        if way.blocked:
+            return
+        data, kind = self.queue[0]
+        loop = self.net.loop
+        if data and way.lose and self.net.rng.random() < way.lose:
+            way_cut = self.net.rng.randrange(len(data) + 1)
+            self._break(data[:way_cut])
+            return
+        if data and way.cut_after is not None:
+            if len(data) >= way.cut_after:
+                cut, way.cut_after = way.cut_after, None
+                self._break(data[:cut])
+                return
+            way.cut_after -= len(data)
+        at = max(loop.now, self.free_at)
+        if way.rate and data:
+            at += len(data) / way.rate / 1000.0
+        self.free_at = at
+        self.moving = True
+        loop.call_at(at + self.net.delay(way), self._arrive)
+
+    def cut_off(self) -> None:
+        """The connection ends here and now, told to both ends; what was on its way is lost."""
+        self._break(b"")
+
+    def _break(self, last: bytes) -> None:
+        """The connection breaks in both directions; the bytes before the break do arrive."""
+        self.queue.clear()
+        if last:
+            self.queue.append((last, "data"))
+        self.queue.append((None, "reset"))
+        self.moving = True
+        self.net.loop.call_later(self.net.delay(self.net.usual), self._arrive)
+        self.source.lose(ConnectionResetError(104, "connection reset"))
+
+    def _arrive(self) -> None:
+        self.moving = False
+        if not self.queue:
+            return
+        if self.to.reading_paused or self.net.way(self.source.node.name, self.to.node.name).blocked:
+            return  # set on its way again by resume_reading or heal
+        # All that was written by then arrives together: a stream knows no writes.
+        data, kind = self.queue.popleft()
+        if data is not None:
+            while self.queue and self.queue[0][0] is not None and len(data) < HIGH_WATER:
+                if self.net.usual.rate or self.net.way(self.source.node.name, self.to.node.name).rate:
+                    break
+                data += self.queue.popleft()[0] or b""
+            self.unread -= len(data)
+            self.to.deliver(data)
+            if self.source.writer_paused and self.unread <= LOW_WATER:
+                self.source.writer_paused = False
+                self.source.node.call_soon(self.source.protocol.resume_writing)
+        elif kind == "eof":
+            self.to.end()
+        else:
+            self.to.lose(ConnectionResetError(104, "connection reset"))
+        self.go_on()
+
+    def drop(self) -> None:
+        self.queue.clear()
+        self.net.pipes.pop(self, None)
+
+
+class MemTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, node: Any, protocol: Any, peer: tuple[str, int]) -> None:
+        super().__init__()
+        self.node, self.protocol, self.peer = node, protocol, peer
+        self.out: Pipe
+        self.closing = self.lost = False
+        self.reading_paused = self.writer_paused = False
+        node.transports[self] = None
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.peer if name == "peername" else default
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def write(self, data: bytes) -> None:
+        if not self.closing and not self.lost and data:
+            self.out.put(bytes(data))
+
+    def get_write_buffer_size(self) -> int:
+        return self.out.unread
+
+    def pause_reading(self) -> None:
+        self.reading_paused = True
+
+    def resume_reading(self) -> None:
+        if self.reading_paused:
+            self.reading_paused = False
+            other = self.out.to.out
+            self.node.call_soon(other.go_on)
+
+    def close(self) -> None:
+        if not self.closing:
+            self.closing = True
+            self.out.put(None, "eof")
+            self.node.call_soon(self.lose, None)
+
+    def abort(self) -> None:
+        if not self.lost:
+            self.closing = True
+            self.out.queue.clear()
+            self.out.put(None, "reset")
+            self.node.call_soon(self.lose, None)
+
+    def deliver(self, data: bytes) -> None:
+        if not self.lost and not self.closing:
+            self.node.call_soon(self._received, data)
+
+    def _received(self, data: bytes) -> None:
+        if not self.lost and not self.closing:
+            self.protocol.data_received(data)
+
+    def end(self) -> None:
+        if not self.lost:
+            self.node.call_soon(self._ended)
+
+    def _ended(self) -> None:
+        if not self.lost and not self.protocol.eof_received():
+            self.close()
+
+    def lose(self, exc: Exception | None) -> None:
+        if not self.lost:
+            self.lost = self.closing = True
+            self.node.transports.pop(self, None)
+            self.out.to.out.drop()
+            self.node.call_soon(self.protocol.connection_lost, exc)
+
+
+class MemDatagrams(asyncio.DatagramTransport):
+    """One end that sends and gets datagrams: each may be lost, late, or come twice."""
+
+    def __init__(self, node: Any, protocol: Any, address: tuple[str, int]) -> None:
+        super().__init__()
+        self.node, self.protocol, self.address = node, protocol, address
+        self.closing = False
+        self.waiting = 0
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.address if name == "sockname" else default
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        if not self.closing:
+            self.node.loop.net.throw(self, bytes(data), tuple(addr))
+
+    def caught(self, data: bytes, source: tuple[str, int]) -> None:
+        if not self.closing and not self.node.dead and self.waiting < MOST_WAITING:
+            self.waiting += 1
+            self.node.call_soon(self._received, data, source)
+
+    def _received(self, data: bytes, source: tuple[str, int]) -> None:
+        self.waiting -= 1
+        if not self.closing:
+            self.protocol.datagram_received(data, source)
+
+    def close(self) -> None:
+        if not self.closing:
+            self.closing = True
+            self.node.loop.net.unbind(self)
+            self.node.call_soon(self.protocol.connection_lost, None)
+
+    abort = close
--- a/pebblehinge/lab/processes.py
+++ b/pebblehinge/lab/processes.py
@@ -6,12 +6,14 @@
 import json
 import os
 import signal
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
 
 from pebblehinge.lab.days import DayError
+from pebblehinge.lab.faults.ground import ProcessGround, names_of
+from pebblehinge.lab.faults.player import Ground
+from pebblehinge.lab.faults.script import Fault
 from pebblehinge.lab.stage import Stage
 from pebblehinge.records import Records
 from pebblehinge.settings import Config, show
@@ -33,29 +35,33 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, config: Config, path: Path, day: str, seed: int, folder: Path,
-        loopback: str, said: Callable[[str], None],
+        loopback: str, said: Callable[[str], None], script: list[Fault] | None = None,
     ) -> None:  # fmt: skip
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as error:
             raise DayError(f"records: {folder} can't be made ({error.strerror})") from None
-        super().__init__(loop, monotonic_ms, config, day, seed, Records(folder, "lab", loop.call_soon), said)
+        super().__init__(loop, monotonic_ms, config, day, seed, Records(folder, "lab", loop.call_soon), said, script)
         self.path, self.folder, self.loopback = path, folder, loopback
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.logs = (folder / "processes.log").open("ab")
         self.lives: dict[str, int] = {}
+        self.state = folder / "state"  # a folder for each head and instance
+        self.struck = ProcessGround(self, loop, names_of(config), seed, folder / "copies")
         (folder / "day.conf").write_text("\n".join(show(config)) + "\n")
 
     def _command(self, role: list[str], name: str, *more: str) -> list[str]:
-        base = [sys.executable, "-m", "pebblehinge", *role, str(self.path)]
+        base = [*role, str(self.path)]
         return [*base, *(["--name", name] if name else []), "--loopback", self.loopback, "--records",
                 str(self.folder), *more]  # fmt: skip
 
-    async def _spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+    async def _spawn(self, name: str, words: list[str]) -> asyncio.subprocess.Process:
         """Starts a process and waits for the line that says it is ready."""
-        process = await asyncio.create_subprocess_exec(
-            *command, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=self.logs
-        )
+        with self.struck.control(name) as (command, passed):
+            process = await asyncio.create_subprocess_exec(
+                *command(words), stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=self.logs,
+                pass_fds=passed,
+            )  # fmt: skip
         self.processes[name] = process
         assert process.stdout is not None
         line = await asyncio.wait_for(process.stdout.readline(), 30.0)
@@ -64,17 +70,31 @@
             raise DayError(f"{name} did not start: see {self.folder / 'processes.log'}")
         return process
 
+    def ground(self) -> Ground:
+        return self.struck
+
     async def start_all(self) -> None:
+        if self.script is not None:
+            await self.struck.start(self.loopback)
+        await asyncio.gather(*(self.start_one(name, False) for name in self.config.member))
         await self._spawn("listing", self._command(["listing"], "", "--seed", str(self.seed)))
         await asyncio.gather(*(self.start_one(name, False) for name in self.config.shelf))
         await asyncio.gather(*(self.start_one(name, False) for name in self.config.head))
 
     async def start_one(self, name: str, cold: bool) -> None:
+        if name in self.config.member:
+            first = not (self.state / name).exists()
+            words = ["group", str(self.path), "--name", name, "--loopback", self.loopback, "--store",
+                     str(self.state / name), "--seed", str(self.seed), *(["--begin"] if first else [])]  # fmt: skip
+            await self._spawn(name, words)
+            return
         if name in self.config.head:
             # A head that starts again draws anew: nothing of before is assumed, its chance neither.
             life = self.lives[name] = self.lives.get(name, -1) + 1
             capture = str(self.folder / f"{name}.{life}.capture")
             more = ["--seed", str(self.seed * 1000 + life), "--capture", capture]
+            if self.script is not None:
+                more += ["--store", str(self.state), "--agreed", str(self.state / name / "agreed")]
             await self._spawn(name, self._command(["head"], name, *more))
             return
         more = ["--seed", str(self.seed), "--store", str(self.folder / "store")]
@@ -114,7 +134,7 @@
         self.processes[name].send_signal(signal.SIGCONT)
 
     async def stop_all(self) -> None:
-        for group in (list(self.config.head), list(self.config.shelf), ["listing"]):
+        for group in (list(self.config.head), list(self.config.shelf), ["listing"], list(self.config.member)):
             up = [name for name in group if self.is_up(name)]
             for name in up:
                 self.processes[name].terminate()
@@ -136,3 +156,4 @@
                 except ProcessLookupError:
                     pass
         self.logs.close()
+        self.struck.close()
--- /dev/null
+++ b/pebblehinge/lab/quiet.py
@@ -0,0 +1,41 @@
+"""Records and logs that stay in memory, for what runs in virtual time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Memory:
+    """Records that stay in memory."""
+
+    on = True
+
+    def __init__(self) -> None:
+        self.rows: list[dict[str, Any]] = []
+
+    def note(self, t: float, event: str, **values: Any) -> None:
+        self.rows.append({"t": round(t, 3), "e": event, **values})
+
+    def close(self) -> None:
+        pass
+
+
+class Quiet:
+    """A log that keeps warnings and worse."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, str, dict[str, Any]]] = []
+
+    def debug(self, event: str, **values: Any) -> None:
+        pass
+
+    info = debug
+
+    def warning(self, event: str, **values: Any) -> None:
+        self.lines.append(("warning", event, values))
+
+    def error(self, event: str, **values: Any) -> None:
+        self.lines.append(("error", event, values))
+
+    def bind(self, **_: Any) -> Quiet:
+        return self
--- a/pebblehinge/lab/stage.py
+++ b/pebblehinge/lab/stage.py
@@ -8,6 +8,8 @@
 
 from pebblehinge.lab.control import control
 from pebblehinge.lab.days import DayError, Step, timeline
+from pebblehinge.lab.faults.player import Ground, Player, told
+from pebblehinge.lab.faults.script import Fault
 from pebblehinge.records import Records
 from pebblehinge.settings import Config
 
@@ -24,6 +26,7 @@
         seed: int,
         records: Any,
         said: Callable[[str], None],
+        script: list[Fault] | None = None,
     ) -> None:
         self.loop, self.clock, self.config, self.day, self.seed = loop, clock, config, day, seed
         self.records: Records = records
@@ -31,6 +34,8 @@
         self.releases: dict[str, int] = {}
         self.frozen: set[str] = set()
         self.faults: list[str] = []
+        self.script = script  # faults between processes and in them; None: the fleet is not prepared for any
+        self.player: Player | None = None
 
     # ---- what a subclass brings; names are those of the settings' shelf and head blocks
 
@@ -58,7 +63,7 @@
         progress = self.loop.create_task(self._progress(start_ms, block.length))
         loads = [self.run_load(part, parts, start_ms) for part in range(parts)]
         try:
-            *late, _ = await asyncio.gather(*loads, self._strike(steps, start_ms))
+            *late, _, _ = await asyncio.gather(*loads, self._strike(steps, start_ms), self._play_script(start_ms))
         finally:
             progress.cancel()
         self.records.note(self.clock(), "end")
@@ -66,7 +71,8 @@
             await self._thaw(name, {})
         await self.stop_all()
         self.records.close()
-        return {"start_ms": start_ms, "late_ms": max(late), "faults": self.faults}
+        known = {"start_ms": start_ms, "late_ms": max(late), "faults": self.faults}
+        return known if self.player is None else {**known, "script": told(self.player)}
 
     async def _strike(self, steps: list[Step], start_ms: float) -> None:
         doing = []
@@ -75,6 +81,19 @@
             doing.append(self.loop.create_task(self._do(step)))
         await asyncio.gather(*doing)
 
+    def ground(self) -> Ground:
+        """Where a script is played."""
+        raise DayError("no script of faults can be played here")
+
+    async def _play_script(self, start_ms: float) -> None:
+        if self.script:
+            self.player = Player(self.ground(), self.script, self.clock, self.records.note)
+            await self.player.play(start_ms)
+
+    async def strike(self, verb: str, name: str) -> None:
+        """One thing done to one process, with its records, as a step of a day would."""
+        await getattr(self, "_" + verb)(name, {"cold": name in self.config.shelf} if verb == "start" else {})
+
     async def _progress(self, start_ms: float, length: float) -> None:
         while True:
             gone = self.clock() - start_ms
--- a/pebblehinge/lab/village.py
+++ b/pebblehinge/lab/village.py
@@ -11,13 +11,17 @@
 
 import msgspec
 
+from pebblehinge.agreed.server import MemberServer
 from pebblehinge.capture import CaptureWriter
 from pebblehinge.head import HeadCore, HeadServer
 from pebblehinge.lab.check import Day
 from pebblehinge.lab.clients import Crowd
 from pebblehinge.lab.copies import Copies
-from pebblehinge.lab.disk import FaultyDisk
+from pebblehinge.lab.faults.ground_in_memory import VillageGround, clock_of, join
+from pebblehinge.lab.faults.player import Ground
+from pebblehinge.lab.faults.script import Fault
 from pebblehinge.lab.fleet import released
+from pebblehinge.lab.quiet import Memory, Quiet
 from pebblehinge.lab.stage import Stage
 from pebblehinge.lab.virtual import Node, VirtualLoop
 from pebblehinge.listing import ListingServer
@@ -27,42 +31,6 @@
 _encode = msgspec.json.Encoder().encode
 
 
-class Memory:
-    """Records that stay in memory."""
-
-    on = True
-
-    def __init__(self) -> None:
-        self.rows: list[dict[str, Any]] = []
-
-    def note(self, t: float, event: str, **values: Any) -> None:
-        self.rows.append({"t": round(t, 3), "e": event, **values})
-
-    def close(self) -> None:
-        pass
-
-
-class Quiet:
-    """A log that keeps warnings and worse."""
-
-    def __init__(self) -> None:
-        self.lines: list[tuple[str, str, dict[str, Any]]] = []
-
-    def debug(self, event: str, **values: Any) -> None:
-        pass
-
-    info = debug
-
-    def warning(self, event: str, **values: Any) -> None:
-        self.lines.append(("warning", event, values))
-
-    def error(self, event: str, **values: Any) -> None:
-        self.lines.append(("error", event, values))
-
-    def bind(self, **_: Any) -> Quiet:
-        return self
-
-
 class Village(Stage):
     """Every head, shelf, load and the list stands on a node of its own. `head_core` and `head_config` let tests
     put in a head that breaks a rule on purpose."""
@@ -79,12 +47,13 @@
         draw: Any = None,
         fleet_seed: int | None = None,
         memory_age_ms: float | None = None,
+        script: list[Fault] | None = None,
     ) -> None:
-        super().__init__(loop.node("lab"), lambda: loop.now * 1000.0, config, day, seed, Memory(), said)
+        super().__init__(loop.node("lab"), lambda: loop.now * 1000.0, config, day, seed, Memory(), said, script)
         self.world, self.draw = loop, draw
         self.fleet_seed = seed if fleet_seed is None else fleet_seed  # shelfs of one seed have the same speeds
         # None: heads keep nothing; else each life finds what the one before learned, older by so much than it is.
-        self.memory_age_ms, self.disks = memory_age_ms, {}
+        self.memory_age_ms = memory_age_ms
         self.log = Quiet()
         self.head_core, self.head_config = head_core, head_config or config
         self.nodes: dict[str, Node] = {}
@@ -93,6 +62,7 @@
         self.contents: dict[int, Contents] = {}
         self.captures: dict[str, bytearray] = {}
         self.lives: dict[str, int] = {}
+        self.struck = VillageGround(self, loop)
         net = loop.net
         rng = random.Random(f"{seed}/net")
         net.usual.delay_ms = rng.uniform(0.08, 0.2)
@@ -100,7 +70,12 @@
     def _memory(self, name: str) -> Memory:
         return self.notes.setdefault(name, Memory())
 
+    def ground(self) -> Ground:
+        return self.struck
+
     async def start_all(self) -> None:
+        for name in self.config.member:
+            await self.start_one(name, False)
         node = self.nodes["listing"] = self.world.node("listing")
         listing = ListingServer(node, self.clock, self.config, self.log, self._memory("listing"), self.seed)
         self.servers["listing"] = listing
@@ -117,16 +92,26 @@
             config = self.head_config
             block = msgspec.structs.replace(config.head[name], seed=self.seed * 1000 + life)
             config = msgspec.structs.replace(config, head={**config.head, name: block})
-            notes = self._memory(f"head-{name}")
-            head = HeadServer(node, self.clock, config, name, self.log, notes, self.head_core)
+            notes, clock = self._memory(f"head-{name}"), clock_of(node)
+            head = HeadServer(node, clock, config, name, self.log, notes, self.head_core)
             self.servers[name] = head
-            if self.memory_age_ms is not None:
-                disk = self.disks.setdefault(name, FaultyDisk(random.Random(f"{self.seed}/{name}")))
-                ahead = life * self.memory_age_ms
-                head.remember(disk, lambda: (self.clock() + ahead, self.clock() + ahead, "virtual"))
+            if self.memory_age_ms is not None or self.script is not None:
+                disk = self.struck.disk(name, self.seed)
+                ahead = life * (self.memory_age_ms or 0.0)
+                wall = self.struck.wall_of(name)
+                head.remember(disk, lambda: (clock() + ahead + wall(), clock() + ahead, "virtual"))
             kept = self.captures[f"{name}.{life}"] = bytearray()
             head.capture(CaptureWriter(kept.extend, name, self.clock(), self.clock()))
             await head.start()
+            if self.config.member:
+                join(node, clock, self.config, name, head, self.struck.disk(name, self.seed), self.log)
+            return
+        if name in self.config.member:
+            disk, life = self.struck.disk(name, self.seed), self.lives.get(name, -1) + 1
+            self.lives[name] = life
+            member = MemberServer(node, clock_of(node), self.config, name, disk, self.log, self.seed * 1000 + life)
+            self.servers[name] = member
+            await member.start()
             return
         own, config = name, self.config
         if self.releases.get(name):
@@ -161,6 +146,7 @@
 
     async def kill_one(self, name: str) -> None:
         self.nodes[name].kill()
+        self.struck.killed(name)
 
     async def stop_one(self, name: str) -> int:
         server, node = self.servers[name], self.nodes[name]
@@ -184,6 +170,8 @@
             if self.is_up(name):
                 await self.stop_one(name)
         self.servers["listing"].stop()
+        for name in self.config.member:
+            self.servers[name].stop()
 
     # ---- what the day left
 
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,274 @@
+"""The relay of the laboratory: what each fault does to the bytes and datagrams of processes that know nothing of it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+from helpers import LOOPBACK, until
+
+from pebblehinge.lab.faults.relay import Relay
+from pebblehinge.lab.faults.under import Led, Under
+from pebblehinge.lab.faults.ways import Held
+
+
+class Side(asyncio.Protocol):
+    """One end of a connection: what came, and how it ended."""
+
+    def __init__(self, at: list[Side] | None = None) -> None:
+        self.got, self.lost, self.eof = b"", None, False
+        self.transport: Any = None
+        if at is not None:
+            at.append(self)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.got += data
+
+    def eof_received(self) -> bool:
+        self.eof = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = repr(exc)
+
+
+class Ears(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.got: list[tuple[bytes, Any]] = []
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.got.append((data, addr))
+
+
+class World:
+    """A relay, a server that is `b`, and a loop whose connections are those of `a`, as a launcher makes it."""
+
+    def __init__(self, loop: Led, relay: Relay, server: Any, there: list[Side]) -> None:
+        self.loop, self.relay, self.there = loop, relay, there
+        self.server = server
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def connect(self) -> tuple[Side, Side]:
+        here, before = Side(), len(self.there)
+        await self.loop.create_connection(lambda: here, LOOPBACK, self.port)
+        await until(lambda: len(self.there) > before)
+        return here, self.there[-1]
+
+    def way(self, source: str, to: str, **held: Any) -> None:
+        self.relay.way(source, to, Held(**held))
+
+
+def on_relay(script: Callable[[World], Coroutine[Any, Any, None]]) -> None:
+    """Runs a script on one loop that is relay, server and client at once; the server's ways are not led."""
+
+    async def whole() -> None:
+        there: list[Side] = []
+        server = await loop.create_server(lambda: Side(there), LOOPBACK, 0)
+        port = server.sockets[0].getsockname()[1]
+        relay = Relay(plain, {f"{LOOPBACK}:{port}": "b"}, 1)
+        await relay.start(LOOPBACK)
+        under.relay, under.datagrams = relay.address, relay.datagrams
+        await asyncio.wait_for(script(World(loop, relay, server, there)), 20.0)
+        assert relay.late_ms < 5_000.0
+        relay.close()
+        server.close()
+
+    under = Under({"name": "a", "relay": ("", 0), "datagrams": ("", 0)})
+    loop = Led(under)
+    plain = Plain(loop)
+    try:
+        loop.run_until_complete(whole())
+    finally:
+        loop.close()
+
+
+class Plain:
+    """The relay's own loop in this test: the same, past the launcher."""
+
+    def __init__(self, loop: Led) -> None:
+        self.loop = loop
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *given: Any) -> Any:
+        return await uvloop.Loop.create_connection(self.loop, *given)
+
+    async def create_datagram_endpoint(self, *given: Any, **more: Any) -> Any:
+        return await uvloop.Loop.create_datagram_endpoint(self.loop, *given, **more)
+
+
+def test_a_sound_way_passes_all_bytes_and_both_ends() -> None:
+    async def script(world: World) -> None:
+        here, there = await world.connect()
+        data = bytes(range(256)) * 4096
+        here.transport.write(data)
+        await until(lambda: len(there.got) == len(data))
+        there.transport.write(b"yes")
+        await until(lambda: here.got == b"yes")
+        assert there.got == data and world.relay.count[("a", "b")] > 1 and world.relay.count[("b", "a")] == 1
+        here.transport.close()
+        await until(lambda: there.lost is not None and here.lost is not None)
+        assert there.eof and there.lost == "None"
+        await until(lambda: not world.relay.ends)
+
+    on_relay(script)
+
+
+def test_a_dead_process_refuses_and_one_that_is_cut_off_says_nothing_until_it_heals() -> None:
+    async def script(world: World) -> None:
+        world.way("b", "a", blocked=True)  # either direction is enough
+        making = asyncio.ensure_future(world.connect())
+        await asyncio.sleep(0.15)
+        assert not making.done() and not world.there
+        world.way("b", "a")
+        here, there = await making
+        here.transport.write(b"x")
+        await until(lambda: there.got == b"x")
+        world.server.close()
+        world.port = 1  # nobody listens there
+        with pytest.raises(ConnectionRefusedError):
+            await world.loop.create_connection(Side, LOOPBACK, 1)
+
+    on_relay(script)
+
+
+def test_bytes_stand_while_one_way_is_silent_and_come_whole_and_in_order_after() -> None:
+    async def script(world: World) -> None:
+        here, there = await world.connect()
+        world.way("a", "b", blocked=True)
+        here.transport.write(b"one")
+        there.transport.write(b"back")
+        await until(lambda: here.got == b"back")  # the other way passes
+        here.transport.write(b"two")
+        await asyncio.sleep(0.1)
+        assert there.got == b""
+        here.transport.close()  # the end stands too
+        await asyncio.sleep(0.05)
+        assert there.lost is None
+        world.way("a", "b")
+        await until(lambda: there.lost is not None)
+        assert there.got == b"onetwo"
+
+    on_relay(script)
+
+
+def test_what_stands_on_a_way_is_bounded() -> None:
+    async def script(world: World) -> None:
+        here, there = await world.connect()
+        world.way("a", "b", blocked=True)
+        for _ in range(400):
+            here.transport.write(bytes(1 << 16))
+        await asyncio.sleep(0.3)
+        held = sum(end.held for end in world.relay.ends)
+        assert 1 << 16 < held < 1 << 20, held
+        world.way("a", "b")
+        await until(lambda: len(there.got) == 400 << 16)
+
+    on_relay(script)
+
+
+def test_a_way_is_late_or_slow_as_it_was_told() -> None:
+    async def script(world: World) -> None:
+        here, there = await world.connect()
+        world.way("a", "b", delay_ms=200.0)
+        began = time.monotonic()
+        here.transport.write(b"late")
+        await until(lambda: there.got == b"late")
+        assert 0.19 < time.monotonic() - began < 2.0
+        world.way("a", "b", rate=20_000.0)
+        began = time.monotonic()
+        here.transport.write(bytes(8_000))
+        await until(lambda: len(there.got) == 8_004)
+        assert 0.3 < time.monotonic() - began < 4.0
+
+    on_relay(script)
+
+
+def test_a_reset_is_told_to_both_and_half_open_to_one() -> None:
+    async def script(world: World) -> None:
+        here, there = await world.connect()
+        assert world.relay.reset("b", "a") == 1
+        await until(lambda: here.lost is not None and there.lost is not None)
+        assert "Reset" in there.lost
+        here, there = await world.connect()
+        assert world.relay.half_open("a", "b") == 1
+        await until(lambda: there.lost is not None)
+        for _ in range(5):
+            here.transport.write(b"into nothing")
+            await asyncio.sleep(0.02)
+        assert here.lost is None and there.got == b""
+        here.transport.close()
+        await until(lambda: not world.relay.ends)
+        assert world.relay.half_open("a", "b") == world.relay.reset("a", "b") == 0
+
+    on_relay(script)
+
+
+def test_datagrams_pass_with_their_source_and_are_lost_or_repeated_as_told() -> None:
+    async def script(world: World) -> None:
+        ears = [Ears(), Ears()]
+        ends = [await world.loop.create_datagram_endpoint(lambda e=e: e, local_addr=(LOOPBACK, 0)) for e in ears]
+        places = [end.get_extra_info("sockname")[:2] for end, _ in ends]
+        # Both are sockets of `a` here; the relay is told that the second one's address is `b`.
+        world.relay.names[f"{places[1][0]}:{places[1][1]}"] = "b"
+        wrapped = ears[0].transport
+        wrapped.own = f"{places[0][0]} {places[0][1]}"
+        wrapped.sendto(b"one", places[1])
+        await until(lambda: len(ears[1].got) == 1)
+        assert ears[1].got == [(b"one", tuple(places[0]))]
+        world.way("a", "b", lose=1.0)
+        for _ in range(20):
+            wrapped.sendto(b"lost", places[1])
+        await asyncio.sleep(0.1)
+        assert len(ears[1].got) == 1 and world.relay.count[("a", "b")] == 21
+        world.way("a", "b", repeat=1.0)
+        wrapped.sendto(b"twice", places[1])
+        await until(lambda: len(ears[1].got) == 3)
+        world.way("a", "b", blocked=True)
+        wrapped.sendto(b"cut", places[1])
+        await until(lambda: world.relay.count[("a", "b")] == 23)
+        world.way("a", "b")
+        ears[1].transport.transport.sendto(b"no head", places[1])  # past the relay: not of a process of the fleet
+        await asyncio.sleep(0.1)
+        assert [data for data, _ in ears[1].got] == [b"one", b"twice", b"twice"]
+        for end, _ in ends:
+            end.close()
+
+    on_relay(script)
+
+
+def test_a_clock_counts_as_it_is_told_and_never_jumps_by_its_rate() -> None:
+    under = Under({"name": "a", "relay": ("", 0), "datagrams": ("", 0)})
+    loop = Led(under)
+
+    async def script() -> None:
+        began, shown = time.monotonic(), loop.time()
+        under.set("drift", 1.0)  # twice as fast
+        assert abs(loop.time() - shown) < 0.05
+        await asyncio.sleep(0.4)
+        passed, counted = time.monotonic() - began, loop.time() - shown
+        assert 0.18 < passed < 0.39 and 1.9 < counted / passed < 2.1
+        before = loop.time()
+        under.set("drift", None)
+        assert 0 <= loop.time() - before < 0.05
+        under.set("wall", -5_000.0)
+        assert -6.0 < under.clock.wall() - time.time() < -4.0
+        under.set("wall", None)
+        assert abs(under.clock.wall() - time.time()) < 2.0
+
+    try:
+        loop.run_until_complete(script())
+    finally:
+        loop.close()
