--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,112 +1,15 @@
-"""The relay of the laboratory: what each fault does to the bytes and datagrams of processes that know nothing of it."""
+"""The relay of the laboratory: what each fault does to bytes and datagrams of processes that know nothing of it."""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 import pytest
-import uvloop
 from helpers import LOOPBACK, until
+from relay_rig import Ears, Side, World, on_relay
 
-from pebblehinge.lab.faults.relay import Relay
 from pebblehinge.lab.faults.under import Led, Under
-from pebblehinge.lab.faults.ways import Held
-
-
-class Side(asyncio.Protocol):
-    """One end of a connection: what came, and how it ended."""
-
-    def __init__(self, at: list[Side] | None = None) -> None:
-        self.got, self.lost, self.eof = b"", None, False
-        self.transport: Any = None
-        if at is not None:
-            at.append(self)
-
-    def connection_made(self, transport: Any) -> None:
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self.got += data
-
-    def eof_received(self) -> bool:
-        self.eof = True
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.lost = repr(exc)
-
-
-class Ears(asyncio.DatagramProtocol):
-    def __init__(self) -> None:
-        self.got: list[tuple[bytes, Any]] = []
-        self.transport: Any = None
-
-    def connection_made(self, transport: Any) -> None:
-        self.transport = transport
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.got.append((data, addr))
-
-
-class World:
-    """A relay, a server that is `b`, and a loop whose connections are those of `a`, as a launcher makes it."""
-
-    def __init__(self, loop: Led, relay: Relay, server: Any, there: list[Side]) -> None:
-        self.loop, self.relay, self.there = loop, relay, there
-        self.server = server
-        self.port = server.sockets[0].getsockname()[1]
-
-    async def connect(self) -> tuple[Side, Side]:
-        here, before = Side(), len(self.there)
-        await self.loop.create_connection(lambda: here, LOOPBACK, self.port)
-        await until(lambda: len(self.there) > before)
-        return here, self.there[-1]
-
-    def way(self, source: str, to: str, **held: Any) -> None:
-        self.relay.way(source, to, Held(**held))
-
-
-def on_relay(script: Callable[[World], Coroutine[Any, Any, None]]) -> None:
-    """Runs a script on one loop that is relay, server and client at once; the server's ways are not led."""
-
-    async def whole() -> None:
-        there: list[Side] = []
-        server = await loop.create_server(lambda: Side(there), LOOPBACK, 0)
-        port = server.sockets[0].getsockname()[1]
-        relay = Relay(plain, {f"{LOOPBACK}:{port}": "b"}, 1)
-        await relay.start(LOOPBACK)
-        under.relay, under.datagrams = relay.address, relay.datagrams
-        await asyncio.wait_for(script(World(loop, relay, server, there)), 20.0)
-        assert relay.late_ms < 5_000.0
-        relay.close()
-        server.close()
-
-    under = Under({"name": "a", "relay": ("", 0), "datagrams": ("", 0)})
-    loop = Led(under)
-    plain = Plain(loop)
-    try:
-        loop.run_until_complete(whole())
-    finally:
-        loop.close()
-
-
-class Plain:
-    """The relay's own loop in this test: the same, past the launcher."""
-
-    def __init__(self, loop: Led) -> None:
-        self.loop = loop
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.loop, name)
-
-    async def create_connection(self, *given: Any) -> Any:
-        return await uvloop.Loop.create_connection(self.loop, *given)
-
-    async def create_datagram_endpoint(self, *given: Any, **more: Any) -> Any:
-        return await uvloop.Loop.create_datagram_endpoint(self.loop, *given, **more)
 
 
 def test_a_sound_way_passes_all_bytes_and_both_ends() -> None:
