A head takes up no version that its disk can't keep; faults with a group that is asked for changes

Ruled out: the write-back and what a head remembers, both of which log and go on. At fault: Feed.granted kept the version after Taking.answered had put it in force, and let the error out into the connection; the next renewal acknowledged what no disk had. Change: an answer that can't be kept is taken back whole (Taking.mark, back_to), told once, tried again with the next renewal; the lease runs out meanwhile and the floor is left.

--- a/pebblehinge/agreed/feed.py
+++ b/pebblehinge/agreed/feed.py
@@ -34,7 +34,7 @@
 
 class Feed:
     """`adopt(config, mode)` is called whenever what the head is to act on has changed; `keep(bytes)` before it
-    acknowledges anything, so that a restart knows the last version."""
+    acknowledges anything, so that a restart knows the last version; where it raises OSError, nothing is taken up."""
 
     def __init__(
         self,
@@ -58,6 +58,7 @@
         self.answered_ms = 0.0
         self.shown: tuple[int, int, str, str] | None = None
         self.closed = False
+        self.unkept = ""  # why the last answer could not be kept
 
     def start(self) -> None:
         self.answered_ms = self.clock()
@@ -134,10 +135,19 @@
             elif self.wire is not None and not lease_ms and self.taking.active:
                 self.wire.close()  # it knows no leader: another may
             return
-        before = self.taking.acknowledges
+        before, mark = self.taking.acknowledges, self.taking.mark()
         if self.taking.answered(token, lease_ms, active, active_text, pending, pending_text, aside):
-            self.keep(self.taking.dump())
+            try:
+                self.keep(self.taking.dump())
+                self.unkept = ""
+            except OSError as error:
+                self.taking.back_to(mark)
+                if self.unkept != str(error):  # it comes again with each renewal: told once
+                    self.unkept = str(error)
+                    self.log.error("a version can't be kept and is not taken up", why=self.unkept)
         self._show()
+        if self.unkept:
+            return  # nothing to tell sooner than by the next renewal
         if self.taking.acknowledges != before or (not lease_ms and self.taking.acknowledges >= active):
             self.loop.call_later(self.group.tick / 1000.0, self.ask)  # what was taken up is told soon
 
--- a/pebblehinge/agreed/taking.py
+++ b/pebblehinge/agreed/taking.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from pebblehinge.agreed.activation import Aside, careful, cut_off, leave
@@ -93,6 +95,19 @@
             del self.configs[old], self.texts[old]
         return before != (self.active, self.pending, self.aside)
 
+    def mark(self) -> tuple[Any, ...]:
+        """What `back_to` needs: everything that an answer may change."""
+        return self.active, self.pending, self.aside, self.lease_until, dict(self.configs), dict(self.texts)
+
+    def back_to(self, mark: tuple[Any, ...]) -> None:
+        """Takes an answer back that could not be kept: not acted on and not acknowledged, since a restart would know
+        nothing of it. The lease that it brought is none either; the old one runs out, and the floor is left. What was
+        read of the newest versions stays read, for the next time."""
+        read, texts = self.configs, self.texts
+        self.active, self.pending, self.aside, self.lease_until, self.configs, self.texts = mark
+        for number in sorted(set(read) - set(self.configs))[-2:]:
+            self.configs[number], self.texts[number] = read[number], texts[number]
+
     def _usable(self, number: int, text: str) -> bool:
         try:
             self._read(number, text)
--- a/pebblehinge/lab/faults/ends.py
+++ b/pebblehinge/lab/faults/ends.py
@@ -101,7 +101,10 @@
             self.transport.write(data)
         elif what == "eof":
             self.sent_eof = True
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:  # it was reset meanwhile, and the loop has not told yet
+                return
             self._close_if_done()
         elif what == "closed":
             self.transport.close()
--- a/pebblehinge/lab/faults/ground.py
+++ b/pebblehinge/lab/faults/ground.py
@@ -149,3 +149,6 @@
 
     def half_open(self, a: str, b: str) -> int:
         return self.relay.half_open(a, b)
+
+    def late_ms(self) -> float:
+        return self.relay.late_ms
--- a/pebblehinge/lab/faults/ground_in_memory.py
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -120,3 +120,6 @@
 
     def half_open(self, a: str, b: str) -> int:
         return self.world.net.half_open(a, b)
+
+    def late_ms(self) -> float:
+        return 0.0
--- a/pebblehinge/lab/faults/player.py
+++ b/pebblehinge/lab/faults/player.py
@@ -24,6 +24,7 @@
     def tried(self, source: str, to: str) -> int: ...  # how often something wanted to pass, ever
     def reset(self, a: str, b: str) -> int: ...  # how many connections there were
     def half_open(self, a: str, b: str) -> int: ...
+    def late_ms(self) -> float: ...  # by how much what passed was late at the most, by the ground's own doing
     def set(self, name: str, kind: str, by: float | None) -> None: ...  # clock or disk; None: sound again
 
 
@@ -127,4 +128,4 @@
 def told(player: Player) -> dict[str, Any]:
     """What a script did, for a report."""
     return {"scripted": len(player.faults), "struck": sum(1 for n in player.struck.values() if n),
-            "idle": player.idle()}  # fmt: skip
+            "idle": player.idle(), "relay_late_ms": round(player.ground.late_ms(), 1)}  # fmt: skip
--- a/pebblehinge/lab/village.py
+++ b/pebblehinge/lab/village.py
@@ -111,6 +111,7 @@
             self.lives[name] = life
             member = MemberServer(node, clock_of(node), self.config, name, disk, self.log, self.seed * 1000 + life)
             self.servers[name] = member
+            member.stopped.add_done_callback(lambda _: node.kill())  # its process ends
             await member.start()
             return
         own, config = name, self.config
--- /dev/null
+++ b/tests/test_fault_group.py
@@ -0,0 +1,80 @@
+"""The group and the heads that follow it under faults: its word stands, and what can't be kept is not taken up."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from test_faults_in_memory import STRUCK, day
+
+from pebblehinge.agreed.taking import Taking
+from pebblehinge.lab.disk import FaultyDisk
+from pebblehinge.lab.faults.ground_in_memory import AGREED
+from pebblehinge.lab.proposer import broken_word
+from pebblehinge.settings import show
+from pebblehinge.settings.load import loads
+
+TEXT = "\n".join(show(STRUCK)) + "\n"
+
+
+def agreed(village: Any) -> tuple[list[str], list[str]]:
+    rows = village.records.rows
+    yes = [r["version"] for r in rows if r["e"] == "proposed" and r["ok"]]
+    return yes, next((r["versions"] for r in rows if r["e"] == "agreed"), [])
+
+
+def test_what_the_group_said_yes_to_stands_though_all_its_instances_are_killed() -> None:
+    village, known = day("at 3s kill g1 for 1s\nat 5s kill g1 g2 g3 for 1s\nat 8s cut g1 from g2 g3 for 1s\n")
+    yes, kept = agreed(village)
+    assert known["faults"] == [] and len(yes) > 5 and set(yes[-5:]) <= set(kept)
+
+
+def test_a_group_whose_disks_sync_nothing_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FaultyDisk, "sync", lambda disk, name: None)
+    for seed in range(6):  # how much of a file a crash leaves is drawn
+        _, known = day("at 5s kill g1 g2 g3 for 1s\n", seed)
+        if known["faults"]:
+            assert any("gone" in said or "stands" in said for said in known["faults"]), known["faults"]
+            return
+    raise AssertionError("disks that forget were not seen")
+
+
+@pytest.mark.parametrize(("yes", "kept", "said"), [
+    ("a b c", "a b c", ""), ("a b c", "b c", ""), ("a b c", "x b y c", ""), ("", "x", ""),
+    ("a b c", "a c", "b was said yes to and is gone"), ("a b c", "a c b", "the order is not that of the answers"),
+    ("a b", "a b b", "b stands twice"), ("a b", "x", "nothing of what was said yes to stands"),
+    ("a b c", "b", "c was said yes to and is gone"),
+])  # fmt: skip
+def test_a_broken_word_is_told(yes: str, kept: str, said: str) -> None:
+    found = broken_word(yes.split(), kept.split())
+    assert (said in found) if said else found == []
+
+
+@pytest.mark.parametrize("kind", ["disk-full", "disk-fail"])
+def test_a_head_that_can_not_keep_a_version_does_not_take_it_up_until_it_can(kind: str) -> None:
+    """Seen on 10 of 24 drawn scripts: OSError out of the connection's own call, after the version was in force: the
+    next renewal acknowledged what no disk had."""
+    village, known = day(f"at 3s {kind} h1 for 4s\n")
+    assert known["faults"] == []
+    told = [line for line in village.log.lines if "can't be kept" in line[1]]
+    assert len(told) == 1 and told[0][0] == "error"
+    head, other = village.struck.disks["h1"], village.struck.disks["h2"]
+    last = Taking.restore("h1", 0.2, head.read(AGREED)).active
+    assert last == Taking.restore("h2", 0.2, other.read(AGREED)).active > 3  # it caught up when the disk was well
+
+
+def test_an_answer_is_taken_back_whole() -> None:
+    taking = Taking("h1", 0.2)
+    assert taking.answered(taking.asked(0.0), 2_000.0, 1, TEXT, 0, "", {})
+    mark = taking.mark()
+    before = taking.dump(), taking.config(100.0)[1], taking.acknowledges, taking.lease_until
+    lower = TEXT.replace("limit 50/s", "limit 20/s")
+    assert loads(lower).plan["basico"].limit == 20.0
+    for given in ((0, "", 2, lower, {}), (2, lower, 0, "", {}), (1, "", 0, "", {"v": (1.0, 1.0)})):
+        active, text, pending, pending_text, aside = given
+        assert taking.answered(taking.asked(500.0), 2_000.0, active or 1, text, pending, pending_text, aside)
+        assert taking.dump() != before[0]
+        taking.back_to(mark)
+        assert 2 in taking.configs or not (text or pending_text)  # read once, for when it can be kept
+        mark = taking.mark()
+        assert (taking.dump(), taking.config(100.0)[1], taking.acknowledges, taking.lease_until) == before
--- /dev/null
+++ b/tests/test_faults_in_memory.py
@@ -0,0 +1,219 @@
+"""Scripts of faults in virtual time: what each does to a fleet, that rules hold through drawn ones, and that a head
+that breaks a rule is still caught under them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_rules_can_break import BASE, CASES, RESETS
+
+from pebblehinge.head import HeadCore
+from pebblehinge.lab.faults.draw import cast_of, draw
+from pebblehinge.lab.faults.script import Fault, read
+from pebblehinge.lab.struck import Struck
+from pebblehinge.lab.village import Village, play
+from pebblehinge.lab.virtual import VirtualLoop
+from pebblehinge.settings import Config, load
+from pebblehinge.settings.load import loads
+
+STRUCK = load(Path("pebblehinge/lab/days/struck.conf"))
+CAST = cast_of(STRUCK)
+
+
+def day(
+    script: str | list[Fault], seed: int = 1, config: Config = STRUCK, **more: Any
+) -> tuple[Village, dict[str, Any]]:
+    rows = read(script, cast_of(config).names) if isinstance(script, str) else script
+    return play(config, next(iter(config.day)), seed, script=rows, **more)
+
+
+def verdicts(village: Village) -> dict[str, str]:
+    return {rule: v.offence for rule, v in village.facts().judge().items() if not v.kept}
+
+
+def answered(village: Village, head: str, begin: float, end: float) -> int:
+    """How many accesses a head honoured within a part of the day, ms from its beginning."""
+    facts = village.facts()
+    return sum(
+        a.op["head"] == head and final == "honoured" and begin <= t - facts.begin < end
+        for a in facts.tries.values() for t, final, _ in a.answers
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_all_rules_hold_through_a_drawn_script(seed: int) -> None:
+    village, known = day(draw(CAST, seed, 12_000.0, 6), seed)
+    assert not verdicts(village) and known["faults"] == []
+    assert known["script"]["scripted"] == 6 and known["script"]["struck"] >= 2
+
+
+def test_the_same_script_and_seed_leave_the_same_records() -> None:
+    left = [day(draw(CAST, 4, 12_000.0, 8), 4)[0].notes for _ in range(2)]
+    assert {n: m.rows for n, m in left[0].items()} == {n: m.rows for n, m in left[1].items()}
+    assert sum(len(m.rows) for m in left[0].values()) > 5_000
+
+
+def test_a_cut_shelf_answers_nothing_until_it_heals_and_the_way_back_is_noted() -> None:
+    everyone = "h1 h2 h3 h4 h5"
+    village, known = day(f"at 3s cut {everyone} from s1 for 4s\n")
+    facts = village.facts()
+    said = [g.said - facts.begin for trips in facts.trips.values() for g in trips if g.shelf == "s1" and g.said]
+    got = [g.t - facts.begin for trips in facts.trips.values() for g in trips if g.shelf == "s1"]
+    assert not any(3_010 < t < 7_000 for t in got) and any(7_000 < t < 9_000 for t in got)
+    assert min(said) < 3_000 and known["script"]["idle"] == []
+    assert facts.ways.held("h1", "s1", 5_000 + facts.begin, 5_000 + facts.begin)
+    assert not facts.ways.held("h1", "s2", 5_000 + facts.begin, 5_000 + facts.begin)
+
+
+def test_a_frozen_head_answers_nothing_and_one_that_was_killed_starts_with_what_its_folder_had() -> None:
+    """Its folder says what it had learned of shelfs; it is written every so often (the settings' `memory`)."""
+    script = """at 3s freeze h1 for 2s
+                at 8s kill h2 for 500ms
+                at 8s kill h3 for 500ms old 7900ms
+                at 8s kill h4 for 500ms empty"""
+    learned: dict[str, list[int]] = {}
+
+    class Watches(HeadCore):
+        def start(self, now: float) -> None:
+            learned.setdefault(self.block.listen, []).append(len(self.module.shelfs.past))
+            super().start(now)
+
+    village, known = day(script, head_core=Watches)
+    assert known["script"]["struck"] == 4 and not verdicts(village)
+    assert answered(village, "h1", 3_050.0, 4_950.0) == 0 < answered(village, "h1", 5_000.0, 9_000.0)
+    counts = {name: learned[STRUCK.head[name].listen] for name in ("h1", "h2", "h3", "h4")}
+    assert counts["h1"] == [0] and counts["h4"] == [0, 0] and counts["h3"] == [0, 0]
+    assert counts["h2"] == [0, len(STRUCK.shelf)]
+
+
+def test_overlapping_kills_end_with_the_last_and_a_new_process_stands_under_what_is_under_way() -> None:
+    script = """at 2s kill h1 for 1s
+                at 2500ms kill h1 for 3s
+                at 3s drift h1 by 0.2% for 5s"""
+    village, known = day(script)
+    rows = [(r["e"], round(r["t"] - village.facts().begin)) for r in village.records.rows if r.get("name") == "h1"]
+    assert rows == [("killed", 2_000), ("started", 5_500)]
+    assert village.nodes["h1"].rate == 1.0 and village.nodes["h1"].since > 0.0  # drifted while it was new, and back
+    assert known["faults"] == []
+
+
+def test_a_client_notices_a_connection_that_only_it_believes_in() -> None:
+    """Seen: 'at 3381ms half-open load1 from h3', and every access on it ran out of its time to the end of the day, 120
+    of 1,229: the client library asked nothing of a silent connection."""
+    village, _ = day("at 3s half-open load1 from h3\n")
+    assert not verdicts(village)
+    assert answered(village, "h3", 3_100.0, 4_500.0) == 0 < answered(village, "h3", 5_500.0, 12_000.0)
+
+
+def test_a_full_or_failing_disk_costs_a_head_its_memory_and_nothing_else() -> None:
+    village, known = day("at 2s disk-full h1 for 3s\nat 6s disk-fail h2 for 3s\n")
+    assert not verdicts(village) and known["faults"] == []
+    for name in ("h1", "h2"):
+        assert answered(village, name, 2_000.0, 9_000.0) > 50
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_head_that_breaks_a_rule_is_caught_under_faults_too(case: str) -> None:
+    """What a checker excuses where ways were struck must not cover a defence that is gone."""
+    rule, at, core, alter = CASES[case]
+    base = BASE
+    if rule == "cold":
+        at = "at 1s burst by 3x for 5s\n" + at
+        base = BASE.replace("heads 2", "heads 8").replace("cold-from 30%", "cold-from 12%")
+        base = base.replace("multiple 2x", "multiple 1.4x")
+    if rule == "order":
+        base = BASE.replace("extents 20", "extents 1")
+    config = loads(f"{base}\nlimits {{\nkeepalive 500ms\n}}\nday d {{\nlength 8s\n{at}}}\n")
+    script = read("at 2s delay h1 to s2 by 200ms for 1s\nat 3s silent s3 to h1 for 1s\nat 5s half-open h2 from s4\n",
+                  cast_of(config).names)  # fmt: skip
+    found = verdicts(day(script, 3, config, head_core=core, head_config=alter(config) if alter else None)[0])
+    assert rule in found, f"{case}: {found}"
+    assert not verdicts(day(script, 3, config)[0])
+    assert RESETS in at or rule not in ("no_double_effect", "budget")
+
+
+def test_which_ways_were_struck_is_read_from_the_labs_rows() -> None:
+    struck = Struck()
+    for t, held in ((100.0, True), (200.0, True), (300.0, False), (900.0, True)):
+        struck.note({"e": "way", "a": "x", "b": "y", "t": t, "held": held})
+    struck.note({"e": "cut off", "a": "x", "b": "z", "t": 500.0})
+    assert struck.held("x", "y", 150.0, 150.0)
+    assert struck.held("x", "y", 390.0, 400.0)  # what stood comes a little after
+    assert not struck.held("x", "y", 450.0, 800.0) and not struck.held("y", "x", 150.0, 150.0)
+    assert struck.held("x", "y", 5_000.0, 5_000.0)  # it has not healed
+    assert struck.doubted("z", "x", 700.0, 250.0) and not struck.doubted("z", "x", 800.0, 250.0)
+    assert struck.doubted("y", "x", 150.0, 0.0)
+
+
+def world(script: Coroutine[Any, Any, None], loop: VirtualLoop) -> None:
+    loop.run_until_complete(asyncio.wait_for(script, 100.0))
+    assert not loop.caught
+
+
+class Ears(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.got: list[bytes] = []
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.got.append(data)
+
+
+def test_datagrams_in_memory_are_lost_repeated_held_back_and_bounded() -> None:
+    loop = VirtualLoop(seed=3)
+    a, b = loop.node("a"), loop.node("b")
+    ears = Ears()
+
+    async def script() -> None:
+        end, _ = await a.create_datagram_endpoint(Ears, ("10.0.0.1", 1))
+        there, _ = await b.create_datagram_endpoint(lambda: ears, ("10.0.0.2", 1))
+        with pytest.raises(OSError, match="already in use"):
+            await a.create_datagram_endpoint(Ears, ("10.0.0.2", 1))
+        way = loop.net.own_way("a", "b")
+
+        async def thrown(count: int, **change: Any) -> int:
+            before = len(ears.got)
+            loop.net.ways[("a", "b")] = replace(way, **change)
+            for n in range(count):
+                end.sendto(b"%d" % n, ("10.0.0.2", 1))
+            await asyncio.sleep(1.0)
+            return len(ears.got) - before
+
+        assert await thrown(100) == 100
+        assert 30 < await thrown(100, drop=0.5) < 70
+        assert 130 < await thrown(100, twice=0.5) < 170
+        assert await thrown(100, blocked=True) == 0
+        b.freeze()
+        assert await thrown(2_000) == 0
+        b.thaw()
+        await asyncio.sleep(0.1)
+        assert len(ears.got) < 1_100  # a process that does not read keeps no more than a socket would
+        there.close()
+        assert await thrown(10) == 0
+        b.kill()
+
+    world(script(), loop)
+
+
+def test_a_node_whose_clock_drifts_goes_on_from_where_it_was() -> None:
+    loop = VirtualLoop(seed=1)
+    node, fired = loop.node("a"), []
+
+    async def script() -> None:
+        began = node.time()
+        node.drift(2.0)
+        assert node.time() == began
+        node.call_later(4.0, lambda: fired.append(loop.now))
+        node.call_at(began + 6.0, lambda: fired.append(loop.now))
+        await asyncio.sleep(5.0)
+        assert node.time() == pytest.approx(began + 10.0)
+        node.drift(1.0)
+        await asyncio.sleep(1.0)
+        assert node.time() == pytest.approx(began + 11.0)
+
+    world(script(), loop)
+    assert fired == pytest.approx([1002.0, 1003.0])
