--- a/pebblehinge/lab/disk.py
+++ b/pebblehinge/lab/disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 SECTOR = 512
 
@@ -17,6 +18,7 @@
         self.synced: dict[str, int] = {}
         self.fail = ""  # append, sync: from now on these fail
         self.room: int | None = None
+        self.slow: Callable[[], None] | None = None  # called by each operation that writes
 
     def names(self) -> list[str]:
         return sorted(self.files)
@@ -27,7 +29,12 @@
     def read(self, name: str) -> bytes:
         return bytes(self.files[name])
 
+    def _takes(self) -> None:
+        if self.slow is not None:
+            self.slow()
+
     def append(self, name: str, data: bytes) -> None:
+        self._takes()
         if self.fail == "append" or (self.room is not None and len(data) > self.room):
             raise OSError(28, "No space left on device")
         if self.room is not None:
@@ -36,6 +43,7 @@
         self.synced.setdefault(name, 0)
 
     def sync(self, name: str) -> None:
+        self._takes()
         if self.fail == "sync":
             raise OSError(5, "Input/output error")
         self.synced[name] = len(self.files[name])
@@ -45,6 +53,7 @@
         self.synced[name] = size
 
     def replace(self, name: str, data: bytes) -> None:
+        self._takes()
         if self.fail:
             raise OSError(5, "Input/output error")
         self.files[name] = bytearray(data)
--- a/pebblehinge/lab/faults/ground_in_memory.py
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -46,8 +46,6 @@
 
 
 class VillageGround:
-    """A slow disk is not here: no time passes within a call of a node."""
-
     def __init__(self, fleet: Fleet, world: VirtualLoop) -> None:
         self.fleet, self.world = fleet, world
         self.disks: dict[str, FaultyDisk] = {}
@@ -86,8 +84,9 @@
 
     def copy(self, name: str, mark: str) -> None:
         if name in self.disks:
-            self.copies[(name, mark)] = copy.deepcopy(self.disks[name])
-            self.copies[(name, mark)].crash()
+            kept = self.copies[(name, mark)] = FaultyDisk(random.Random(f"{name}/{mark}"))
+            kept.files, kept.synced = copy.deepcopy((self.disks[name].files, self.disks[name].synced))
+            kept.crash()
 
     def go_back(self, name: str, mark: str) -> None:
         old, kept = self.disks.get(name), self.copies.get((name, mark))
@@ -99,7 +98,9 @@
             self.fleet.nodes[name].drift(1.0 + (by or 0.0))
         elif kind == "wall":
             self.walls[name] = by or 0.0
-        elif name in self.disks and kind != "disk-slow":
+        elif name in self.disks and kind == "disk-slow":
+            self.disks[name].slow = None if by is None else lambda: self.fleet.nodes[name].busy(by / 1000.0)
+        elif name in self.disks:
             self.disks[name].fail = "" if by is None else "append" if kind == "disk-full" else "sync"
 
     # ---- ways
--- a/pebblehinge/lab/virtual.py
+++ b/pebblehinge/lab/virtual.py
@@ -78,6 +78,7 @@
     rate: float = 1.0
     dead: bool = False
     frozen: bool = False
+    busy_until: float = 0.0  # a call of it takes until then: nothing else of it runs meanwhile
     held: deque[tuple[Callable[..., Any], tuple[Any, ...]]] = field(default_factory=deque)
     transports: dict[MemTransport, None] = field(default_factory=dict)
     tasks: dict[asyncio.Task, None] = field(default_factory=dict)
@@ -134,7 +135,7 @@
     def _run(self, call: Callable[..., Any], args: tuple[Any, ...]) -> None:
         if self.dead:
             return
-        if self.frozen:
+        if self.frozen or self.loop.now < self.busy_until:
             self.held.append((call, args))
         else:
             call(*args)
@@ -168,8 +169,18 @@
         """As SIGSTOP: connections stand, nothing runs."""
         self.frozen = True
 
+    def busy(self, seconds: float) -> None:
+        """What it does now takes so long; where it is busy already, so much longer."""
+        self.busy_until = max(self.busy_until, self.loop.now) + seconds
+        self.loop.call_at(self.busy_until, self._go_on)
+
     def thaw(self) -> None:
         self.frozen = False
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self.frozen or self.loop.now < self.busy_until:
+            return
         held = list(self.held)
         self.held.clear()
         for call, args in held:
--- a/tests/test_faults_in_memory.py
+++ b/tests/test_faults_in_memory.py
@@ -117,6 +117,17 @@
         assert answered(village, name, 2_000.0, 9_000.0) > 50
 
 
+def test_a_slow_disk_holds_its_head_as_long_as_each_write_takes() -> None:
+    def mean(script: str) -> float:
+        facts = day(script)[0].facts()
+        took = [t - a.sent for a in facts.tries.values() for t, final, _ in a.answers
+                if final == "honoured" and a.op["head"] == "h1"]  # fmt: skip
+        return sum(took) / len(took)
+
+    usual = mean("at 2s wall h1 by 1s for 1s\n")
+    assert mean("at 2s disk-slow h1 by 400ms for 9s\n") > usual + 5.0
+
+
 @pytest.mark.parametrize("case", CASES)
 def test_a_head_that_breaks_a_rule_is_caught_under_faults_too(case: str) -> None:
     """What a checker excuses where ways were struck must not cover a defence that is gone."""
@@ -199,6 +210,26 @@
     world(script(), loop)
 
 
+def test_a_busy_node_runs_nothing_until_it_is_done_and_all_of_it_in_order_after() -> None:
+    loop = VirtualLoop(seed=1)
+    node, ran = loop.node("a"), []
+
+    async def script() -> None:
+        for n in range(4):
+            node.call_later(0.1 * n, lambda n=n: ran.append((n, round(loop.now - 1000.0, 3))))
+        await asyncio.sleep(0.15)
+        node.busy(0.2)
+        node.busy(0.2)
+        node.freeze()
+        await asyncio.sleep(0.6)
+        assert len(ran) == 2
+        node.thaw()
+        await asyncio.sleep(0.1)
+
+    world(script(), loop)
+    assert ran == [(0, 0.0), (1, 0.1), (2, 0.75), (3, 0.75)]
+
+
 def test_a_node_whose_clock_drifts_goes_on_from_where_it_was() -> None:
     loop = VirtualLoop(seed=1)
     node, fired = loop.node("a"), []
