--- a/pebblehinge/lab/faults/ground_in_memory.py
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -14,6 +14,7 @@
 from pebblehinge.lab.faults.ways import Held
 from pebblehinge.lab.virtual import Node, VirtualLoop
 from pebblehinge.settings import Config
+from pebblehinge.store.beside import Beside, Done, inline
 
 AGREED = "agreed"  # the file in which a head keeps the version that it took up
 
@@ -24,8 +25,9 @@
 
 
 def join(
-    node: Node, clock: Callable[[], float], config: Config, name: str, head: Any, disk: FaultyDisk, log: Any
-) -> Feed:
+    node: Node, clock: Callable[[], float], config: Config, name: str, head: Any, disk: FaultyDisk, log: Any,
+    beside: Beside,
+) -> Feed:  # fmt: skip
     """A head's way to the group, as the command line makes it."""
     floor = config.group.floor
     taking = Taking(name, floor)
@@ -33,7 +35,7 @@
         taking = Taking.restore(name, floor, disk.read(AGREED))
     head.adopt(cut_off(config, floor))
     feed = Feed(node, clock, config, taking, lambda new, mode: head.adopt(new), lambda data: disk.replace(AGREED, data),
-                log)  # fmt: skip
+                log, beside)  # fmt: skip
     feed.start()
     return feed
 
@@ -51,12 +53,30 @@
         self.disks: dict[str, FaultyDisk] = {}
         self.copies: dict[tuple[str, str], FaultyDisk] = {}
         self.walls: dict[str, float] = {}
+        self.slow: dict[str, float] = {}  # ms that each write takes
 
     def disk(self, name: str, seed: int) -> FaultyDisk:
         if name not in self.disks:
             self.disks[name] = FaultyDisk(random.Random(f"{seed}/{name}"))
         return self.disks[name]
 
+    def beside(self, name: str) -> Beside:
+        """What a head has done beside its loop: over when its disk has taken its time; the node goes on meanwhile."""
+
+        def begin(call: Callable[[], Any], done: Done) -> None:
+            if name in self.slow:
+                self.fleet.nodes[name].call_later(self.slow[name] / 1000.0, end, call, done)
+            else:
+                inline(call, done)
+
+        def end(call: Callable[[], Any], done: Done) -> None:
+            disk = self.disks[name]
+            held, disk.slow = disk.slow, None
+            inline(call, done)
+            disk.slow = held
+
+        return begin
+
     def wall_of(self, name: str) -> Callable[[], float]:
         """By how much its wall clock is off, ms."""
         return lambda: self.walls.get(name, 0.0)
@@ -100,6 +120,10 @@
             self.walls[name] = by or 0.0
         elif name in self.disks and kind == "disk-slow":
             self.disks[name].slow = None if by is None else lambda: self.fleet.nodes[name].busy(by / 1000.0)
+            if by is None:
+                self.slow.pop(name, None)
+            else:
+                self.slow[name] = by
         elif name in self.disks:
             self.disks[name].fail = "" if by is None else "append" if kind == "disk-full" else "sync"
 
