--- a/pebblehinge/lab/faults/ground.py
+++ b/pebblehinge/lab/faults/ground.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from pebblehinge.lab.faults.player import OnFleet
 from pebblehinge.lab.faults.relay import Relay
 from pebblehinge.lab.faults.ways import Held
 from pebblehinge.settings import Config
@@ -44,7 +45,7 @@
     async def strike(self, verb: str, name: str) -> None: ...
 
 
-class ProcessGround:
+class ProcessGround(OnFleet):
     """Without a script, processes are started as ever and nothing of this is there."""
 
     def __init__(
@@ -82,22 +83,7 @@
         finally:
             os.close(theirs)
 
-    # ---- processes
-
-    def is_up(self, name: str) -> bool:
-        return self.fleet.is_up(name)
-
-    async def down(self, name: str) -> None:
-        await self.fleet.strike("kill", name)
-
-    async def again(self, name: str) -> None:
-        await self.fleet.strike("start", name)
-
-    async def stand(self, name: str) -> None:
-        await self.fleet.strike("freeze", name)
-
-    async def go_on(self, name: str) -> None:
-        await self.fleet.strike("thaw", name)
+    # ---- folders, clocks, disks
 
     def copy(self, name: str, mark: str) -> None:
         """Stopped while it is copied: what is copied is what a crash could have left."""
--- a/pebblehinge/lab/faults/ground_in_memory.py
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -11,6 +11,7 @@
 from pebblehinge.agreed.activation import cut_off
 from pebblehinge.agreed.feed import Feed
 from pebblehinge.lab.disk import FaultyDisk
+from pebblehinge.lab.faults.player import OnFleet
 from pebblehinge.lab.faults.ways import Held
 from pebblehinge.lab.virtual import Node, VirtualLoop
 from pebblehinge.settings import Config
@@ -47,7 +48,7 @@
     async def strike(self, verb: str, name: str) -> None: ...
 
 
-class VillageGround:
+class VillageGround(OnFleet):
     def __init__(self, fleet: Fleet, world: VirtualLoop) -> None:
         self.fleet, self.world = fleet, world
         self.disks: dict[str, FaultyDisk] = {}
@@ -85,22 +86,7 @@
         if name in self.disks:
             self.disks[name].crash()
 
-    # ---- processes
-
-    def is_up(self, name: str) -> bool:
-        return self.fleet.is_up(name)
-
-    async def down(self, name: str) -> None:
-        await self.fleet.strike("kill", name)
-
-    async def again(self, name: str) -> None:
-        await self.fleet.strike("start", name)
-
-    async def stand(self, name: str) -> None:
-        await self.fleet.strike("freeze", name)
-
-    async def go_on(self, name: str) -> None:
-        await self.fleet.strike("thaw", name)
+    # ---- folders, clocks, disks
 
     def copy(self, name: str, mark: str) -> None:
         if name in self.disks:
--- a/pebblehinge/lab/faults/player.py
+++ b/pebblehinge/lab/faults/player.py
@@ -28,6 +28,27 @@
     def set(self, name: str, kind: str, by: float | None) -> None: ...  # clock or disk; None: sound again
 
 
+class OnFleet:
+    """What every ground does to processes in the same way: by the steps of a day, with their records."""
+
+    fleet: Any
+
+    def is_up(self, name: str) -> bool:
+        return self.fleet.is_up(name)
+
+    async def down(self, name: str) -> None:
+        await self.fleet.strike("kill", name)
+
+    async def again(self, name: str) -> None:
+        await self.fleet.strike("start", name)
+
+    async def stand(self, name: str) -> None:
+        await self.fleet.strike("freeze", name)
+
+    async def go_on(self, name: str) -> None:
+        await self.fleet.strike("thaw", name)
+
+
 class Player:
     """One script. Overlapping faults of one process end with the last of them."""
 
