--- a/tests/test_off.py
+++ b/tests/test_off.py
@@ -10,12 +10,13 @@
 
 import pytest
 
-TOGETHER = ("fleet", "history", "catalog", "agreed", "raft", "lab", "client", "net", "wire", "store", "settings", "head")
+TOGETHER = ("fleet", "history", "catalog", "agreed", "raft", "lab", "client", "net", "wire", "store", "settings",
+            "head")  # fmt: skip
 STARTS = {"run": "pebblehinge.service", "sim": "pebblehinge.wirehost"}
 
 
-def loaded(package: str) -> set[str]:
-    code = f"import {package}, {package}.__main__, sys; print(*sorted(sys.modules))"
+def loaded(module: str) -> set[str]:
+    code = f"import {module}, sys; print(*sorted(sys.modules))"
     env = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, env=env, check=True)
     return {name for name in done.stdout.split() if name.startswith("pebblehinge.")}
@@ -26,10 +27,10 @@
     """Heads may not talk to each other there."""
     how = tomllib.loads(Path("deploy/balancer.toml").read_text())[key]
     assert how == f"exec .venv/bin/python -m {STARTS[key]}"
-    names = loaded(STARTS[key])
+    names = loaded(STARTS[key] + ".__main__")
     assert "pebblehinge.decide.path" in names and "pebblehinge.kept.notes" in names
     assert not {n for n in names if n.split(".")[1] in TOGETHER}
 
 
 def test_what_is_loaded_is_seen() -> None:
-    assert {"pebblehinge.net", "pebblehinge.settings"} <= loaded("pebblehinge")
+    assert {"pebblehinge.net", "pebblehinge.settings"} <= loaded("pebblehinge.cli")
