Read over: the relay names an address in one place, a rule's stage is set in one place

Dead: Asking.end, which nothing set. Derived: what had wanted to pass before a fault began is taken off its count at once, no second table.

--- a/pebblehinge/lab/faults/player.py
+++ b/pebblehinge/lab/faults/player.py
@@ -58,7 +58,6 @@
         self.ground, self.faults, self.clock, self.note = ground, faults, clock, note
         self.ways = Ways()
         self.struck = dict.fromkeys(faults, 0)
-        self.before: dict[Fault, int] = {}
         self.under_way: dict[tuple[str, str], list[Fault]] = {}  # of processes, by name and kind
 
     async def play(self, start_ms: float) -> None:
@@ -95,13 +94,9 @@
     # ---- ways
 
     def _way(self, what: str, fault: Fault) -> None:
-        if what == "begin":
-            self.before[fault] = sum(self.ground.tried(a, b) for a, b in Ways.pairs(fault))
-            altered = self.ways.begin(fault)
-        else:
-            self.struck[fault] += sum(self.ground.tried(a, b) for a, b in Ways.pairs(fault)) - self.before[fault]
-            altered = self.ways.end(fault)
-        for a, b in altered:
+        tried = sum(self.ground.tried(a, b) for a, b in Ways.pairs(fault))
+        self.struck[fault] += tried if what == "end" else -tried  # what wanted to pass meanwhile
+        for a, b in self.ways.begin(fault) if what == "begin" else self.ways.end(fault):
             held = self.ways.between(a, b)
             self.note(self.clock(), "way", a=a, b=b, held=not held.sound, blocked=held.blocked, delay=held.delay_ms,
                       rate=held.rate)  # fmt: skip
--- a/pebblehinge/lab/faults/relay.py
+++ b/pebblehinge/lab/faults/relay.py
@@ -24,15 +24,11 @@
     def __init__(self, relay: Relay) -> None:
         self.relay, self.line = relay, b""
         self.transport: Any = None
-        self.end: End | None = None
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        if self.end is not None:
-            self.end.data_received(data)
-            return
         self.line += data
         if b"\n" in self.line:
             line, _, rest = self.line.partition(b"\n")
@@ -46,8 +42,7 @@
 
     async def _connect(self, source: str, host: str, port: int) -> None:
         relay = self.relay
-        to = relay.names.get(f"{host}:{port}", f"{host}:{port}")
-        relay.count[(source, to)] += 1
+        to = relay.bound_for(source, host, port)
         await relay.passable(source, to)
         await relay.passable(to, source)
         if self.transport.is_closing():
@@ -90,8 +85,7 @@
             return
         source, host, port = words[0], words[1], int(words[2])
         relay = self.relay
-        to = relay.names.get(f"{host}:{port}", f"{host}:{port}")
-        relay.count[(source, to)] += 1
+        to = relay.bound_for(source, host, port)
         held = relay.held(source, to)
         if held.blocked or (held.lose and relay.rng.random() < held.lose):
             return
@@ -151,6 +145,12 @@
         for end in [e for e in self.ends if (e.source, e.to) == (source, to)]:
             end.push()
 
+    def bound_for(self, source: str, host: str, port: int) -> str:
+        """Whose an address is that something from a source wants to reach; one that nobody has is its own name."""
+        to = self.names.get(f"{host}:{port}", f"{host}:{port}")
+        self.count[(source, to)] += 1
+        return to
+
     async def passable(self, source: str, to: str) -> None:
         while self.held(source, to).blocked:
             future = self.loop.create_future()
--- a/tests/test_faults_in_memory.py
+++ b/tests/test_faults_in_memory.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from test_rules_can_break import BASE, CASES, RESETS
+from test_rules_can_break import CASES, RESETS, stage_for
 
 from pebblehinge.head import HeadCore
 from pebblehinge.lab.faults.draw import cast_of, draw
@@ -131,13 +131,7 @@
 def test_a_head_that_breaks_a_rule_is_caught_under_faults_too(case: str) -> None:
     """What a checker excuses where ways were struck must not cover a defence that is gone."""
     rule, at, core, alter = CASES[case]
-    base = BASE
-    if rule == "cold":
-        at = "at 1s burst by 3x for 5s\n" + at
-        base = BASE.replace("heads 2", "heads 8").replace("cold-from 30%", "cold-from 12%")
-        base = base.replace("multiple 2x", "multiple 1.4x")
-    if rule == "order":
-        base = BASE.replace("extents 20", "extents 1")
+    at, base = stage_for(rule, at)
     config = loads(f"{base}\nlimits {{\nkeepalive 500ms\n}}\nday d {{\nlength 8s\n{at}}}\n")
     script = read("at 2s delay h1 to s2 by 200ms for 1s\nat 3s silent s3 to h1 for 1s\nat 5s half-open h2 from s4\n",
                   cast_of(config).names)  # fmt: skip
--- a/tests/test_rules_can_break.py
+++ b/tests/test_rules_can_break.py
@@ -183,16 +183,20 @@
     return village.facts().judge()
 
 
-@pytest.mark.parametrize("case", CASES)
-def test_a_head_that_breaks_a_rule_is_caught_and_named(case: str) -> None:
-    rule, at, core, alter = CASES[case]
-    base = BASE
+def stage_for(rule: str, at: str) -> tuple[str, str]:
+    """The day's troubles and its settings, such that the rule is put to the test."""
     if rule == "cold":  # many heads, each with little, are what pushes a cold shelf over
-        at = "at 1s burst by 3x for 5s\n" + at
         base = BASE.replace("heads 2", "heads 8").replace("cold-from 30%", "cold-from 12%")
-        base = base.replace("multiple 2x", "multiple 1.4x")
+        return "at 1s burst by 3x for 5s\n" + at, base.replace("multiple 2x", "multiple 1.4x")
     if rule == "order":  # two runs on one key at once
-        base = BASE.replace("extents 20", "extents 1")
+        return at, BASE.replace("extents 20", "extents 1")
+    return at, BASE
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_head_that_breaks_a_rule_is_caught_and_named(case: str) -> None:
+    rule, at, core, alter = CASES[case]
+    at, base = stage_for(rule, at)
     broken = judge(at, core, alter, base=base)
     assert not broken[rule].kept and broken[rule].offence, case
     sound = judge(at, HeadCore, None, base=base)
