--- a/pebblehinge/service/server.py
+++ b/pebblehinge/service/server.py
@@ -16,8 +16,9 @@
 from pebblehinge.interface import ListCall, ListKind, Outcome, Standing
 from pebblehinge.service.clients import ClientConn, Door
 from pebblehinge.service.config import ServiceConfig, load_config
-from pebblehinge.service.discovery import Told, Watch
+from pebblehinge.service.discovery import Watch
 from pebblehinge.service.life import Life
+from pebblehinge.service.lists import Told
 from pebblehinge.service.peek import readable
 from pebblehinge.service.shelfs import Shelfs
 from pebblehinge.stated import StatedError
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -20,7 +20,7 @@
 from pebblehinge.service import clients
 from pebblehinge.service.clients import ClientConn, Door
 from pebblehinge.service.config import read_config
-from pebblehinge.service.discovery import Told
+from pebblehinge.service.lists import Told
 from pebblehinge.service.life import Life, Stage
 from pebblehinge.stated import read_settings
 
--- a/tests/test_service_lists.py
+++ b/tests/test_service_lists.py
@@ -17,7 +17,7 @@
 from pebblehinge.interface import Outcome
 from pebblehinge.service.__main__ import main
 from pebblehinge.service.config import ServiceConfig, read_config
-from pebblehinge.service.discovery import Told
+from pebblehinge.service.lists import Told
 from pebblehinge.service.server import Service
 from pebblehinge.stated import StatedError
 
