A hot extent at a cold shelf: each first try draws a turn; starts keep signals, blind heads get ready

Cold shelfs, measured with the real module in fleets of 3, 30 and 230 heads (tests/cold_fleet.py): the largest sum in any second over N + 2 * sqrt(N) + 2. Faulty line: path.py, a.turn = e.turn: one turn as long as the extent is remembered, so all of it went or nothing. A client's next try keeps the turn of the last.

Starts: a signal while libraries load is kept and acted on; SIGHUP killed the process. A head with no list at all is ready after 5 s and tells a time to return; it never was. Seen to fail without: both.

--- a/pebblehinge/decide/access.py
+++ b/pebblehinge/decide/access.py
@@ -17,7 +17,7 @@
     __slots__ = ("counts", "answered_ms", "open", "turn")
 
     def __init__(self, turn: float) -> None:
-        self.turn = turn  # at a cold shelf; a client's next try draws no new one
+        self.turn = turn  # at a cold shelf; a first try draws it anew, a client's next one does not
         self.counts: dict[int, float] = {}
         self.answered_ms: float | None = None
         self.open = 0
--- a/pebblehinge/decide/path.py
+++ b/pebblehinge/decide/path.py
@@ -39,13 +39,12 @@
         a.turn = self.rng.random()
         a.size = (1.0 + units / (cfg.mean_units or units or 1.0)) / 2  # half goes by size
         a.profile, a.plan = self.given.profiles[profile], self.given.plans[plan]
-        a.abandon_ms = abandon_ms - 2 * cfg.step_ms
+        a.abandon_ms = min(abandon_ms - 2 * cfg.step_ms, self.end_ms)
         # A client's clock runs on over its tries: one with less patience left than its profile's has waited
         # before, here or at a head that died, and is due by so much earlier. But one that leaves before an
         # answer could be late is impatient, not late: due when it leaves. Harm: a last try counts in full.
         again = repeat if repeat is not None else abandon_ms - now >= a.profile.expected_ms
         came = abandon_ms - a.profile.patience_ms if again else now
-        a.abandon_ms = min(a.abandon_ms, self.end_ms)
         a.due_ms = min(came + a.profile.expected_ms, a.abandon_ms)
         self.seq += 1
         a.seq, a.trips, a.recalls, a.answer = self.seq, [], [], None
@@ -53,6 +52,7 @@
         self.worth.price(a, now)
         if extent is not None:
             e = self.extents.use(extent, Extent(a.turn))
+            e.turn = a.turn if repeat is False else e.turn
             a.turn = e.turn
             if e.open == 0 and e.answered_ms is not None:
                 e.note(now - e.answered_ms)
--- a/pebblehinge/interface.py
+++ b/pebblehinge/interface.py
@@ -130,9 +130,6 @@
     budget_share: float | None
     budget_free: float
     budget_window_ms: float
-    heads: int = 1  # of the fleet, this one among them
-    young_units: float = 0.0  # that a cold shelf always bears from all heads within fall_within_ms; 0 where not told
-    fall_within_ms: float = 1000.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/pebblehinge/service/__main__.py
+++ b/pebblehinge/service/__main__.py
@@ -3,11 +3,16 @@
 import os
 import sys
 
-import uvloop
+from pebblehinge.service import early
 
-from pebblehinge.service.config import load_config
-from pebblehinge.service.server import run
-from pebblehinge.stated import StatedError
+if __name__ == "__main__":  # what is loaded below takes a while
+    early.hold()
+
+import uvloop  # noqa: E402
+
+from pebblehinge.service.config import load_config  # noqa: E402
+from pebblehinge.service.server import run  # noqa: E402
+from pebblehinge.stated import StatedError  # noqa: E402
 
 
 def main() -> int:
--- a/pebblehinge/service/server.py
+++ b/pebblehinge/service/server.py
@@ -12,6 +12,7 @@
 
 from pebblehinge.core import Core, Taken
 from pebblehinge.interface import ListCall, ListKind, Outcome, Standing
+from pebblehinge.service import early
 from pebblehinge.service.config import ServiceConfig, load_config
 from pebblehinge.service.discovery import Watch
 from pebblehinge.service.door import Door
@@ -26,6 +27,7 @@
 OWN_SOCKETS = 24  # descriptors of the process itself, discovery's connections among them
 SHELF_PART = 3 / 8  # of the descriptors, for connections to shelfs
 KNOWN_MS = 500.0  # so long a list from the configuration waits to be overtaken by a told one
+BLIND_MS = 5000.0  # and so long none at all; heads are to be ready within 10 s
 SUMS_S = 5.0  # between lines of the log that say what has passed
 MOST_LINES = 2000  # of the log, so that it can't grow for ever
 
@@ -93,10 +95,12 @@
         gc.freeze()
 
     def ready(self) -> bool:
-        """It listens and has a list: discovery's own, or after a while the one that it was started with."""
+        """It listens and has a list: discovery's own, or after a while the one that it was started with. With none it
+        is so later: what it takes is refused with a time to return, which is more than no answer."""
+        lived = self.clock() - self.born
         if not self.listener.listens or not self.shelfs.table:
-            return False
-        return self.told or self.clock() - self.born > KNOWN_MS
+            return self.listener.listens and lived > BLIND_MS
+        return self.told or lived > KNOWN_MS
 
     def reload(self) -> None:
         """SIGHUP: the file is read again; one that can't be read leaves the old one in force."""
@@ -230,10 +234,12 @@
     loop.set_exception_handler(
         lambda _, about: service.say("a fault in the loop", what=about["message"], error=repr(about.get("exception")))
     )
-    loop.add_signal_handler(signal.SIGHUP, service.reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, service.leave)
+    acts = {signal.SIGHUP: service.reload, signal.SIGTERM: service.leave, signal.SIGINT: service.leave}
+    for number, act in acts.items():
+        loop.add_signal_handler(number, act)
     await service.start()
+    for number in early.came:
+        acts[signal.Signals(number)]()
     await service.stopped
 
 
--- a/pebblehinge/stated.py
+++ b/pebblehinge/stated.py
@@ -108,7 +108,4 @@
         budget_share=rules.get("repeat_ratio", float) if budget else None,
         budget_free=rules.get("min_extra", float) if budget else 0.0,
         budget_window_ms=rules.get("look_back_s", float, scale=ms) if budget else 0.0,
-        heads=max(1, env.get("instances", int, 1)),
-        young_units=info.get("young_limit", float, 0.0),
-        fall_within_ms=rules.get("overload_for_s", float, 1000.0, scale=ms),
     )
--- /dev/null
+++ b/tests/cold_fleet.py
@@ -0,0 +1,164 @@
+"""Many heads before one cold shelf, in virtual time: what they send it together, beside what it bears.
+
+Each head is the real module and knows what its own calls told it. The shelf starts at `cold_share` of its capacity and
+is warm, evenly, after `warm_ms`; what is never safe is more than `N + 2 * sqrt(N) + 2` accesses of mean work in any
+window of `WINDOW_MS`, N being `fall_multiple` times what it can do meanwhile.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from bisect import bisect_left
+from collections.abc import Callable
+from typing import Any
+
+from service_rig import SETTINGS
+
+from pebblehinge.decide import Head
+from pebblehinge.interface import Changes, Entry, Final, ListKind, Outcome, Settings, Standing
+from pebblehinge.stated import read_settings
+
+SCENES = ("even", "skewed", "hot extent", "queue released", "late lists", "suspected", "returns at once")
+START_MS, END_MS = 8_000.0, 28_000.0  # when the cold shelf starts, in the middle of service
+WINDOW_MS = 1_000.0
+AWAY_MS = 4_000.0  # so long a shelf that returns was out of reach before
+
+
+def settings(rng: random.Random) -> Settings:
+    """Drawn as deployments differ."""
+    share, multiple = rng.uniform(0.25, 0.5), rng.choice((1.5, 2.0, 3.0))
+    stated: dict[str, Any] = {
+        **SETTINGS, "rules": {"cold_share": share, "fall_multiple": multiple, "warm_after_s": rng.uniform(6.0, 17.0)},
+        "classes": [{**c, "give_up_s": 2.5} for c in SETTINGS["classes"]],
+    }  # fmt: skip
+    return read_settings(stated)
+
+
+class Fleet:
+    """One drawn fleet; `play` returns how far past the line the worst window was, as a ratio, and what was served."""
+
+    def __init__(self, seed: int, heads: int, asked: float, scene: str) -> None:
+        """`asked` is what is asked of the shelf, of what it can do once it is warm."""
+        self.rng, self.scene = random.Random(seed), scene
+        cfg = self.cfg = settings(self.rng)
+        self.units_s = self.rng.uniform(8.0, 60.0)  # that the warm shelf can do
+        self.rate = asked * self.units_s / cfg.mean_units / 1000.0  # accesses a ms for this shelf
+        self.now, self.order, self.events = 0.0, itertools.count(), []  # type: ignore[var-annotated]
+        self.heads = [Head(cfg, self.rng.randrange(1 << 30), 0.0) for _ in range(heads)]
+        self.wakes = [math.inf] * heads
+        self.up: dict[str, bool] = {"old": True, "new": True}
+        self.sends: list[tuple[float, float]] = []  # to the cold shelf, from its start on
+        self.ids, self.asks, self.served = itertools.count(1), 0, 0
+        weights = [1.0] * heads if scene != "skewed" else [1.0 / (n + 1) for n in range(heads)]
+        self.weights = list(itertools.accumulate(weights))
+        for h in range(heads):
+            self.do(h, self.heads[h].start(0.0))
+            listed = [Entry("old", Standing.READY, 0, 0.0), Entry("b", Standing.READY, 1, 0.0)]
+            self.do(h, self.heads[h].listed(0.0, ListKind.WHOLE, listed))
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (when, next(self.order), what))
+
+    def play(self) -> tuple[float, float]:
+        rng = self.rng
+        self.at(0.0, self.come)
+        if self.scene in ("suspected", "returns at once"):  # the same shelf goes and comes back cold, no list tells
+            self.at(START_MS - AWAY_MS, lambda: self.up.update(old=False))
+            self.at(START_MS, lambda: self.up.update(old=True))
+        else:
+            late = 4000.0 if self.scene == "late lists" else 300.0
+            self.at(START_MS, lambda: self.up.update(old=False))
+            entries = [Entry("old", Standing.GONE, 0, 0.0), Entry("new", Standing.READY, 0, START_MS)]
+            if self.scene == "queue released":  # the one before has hung for a while: what is held moves at once
+                self.at(START_MS - 1500.0, lambda: self.up.update(old=False))
+            for h, head in enumerate(self.heads):
+                when = START_MS + (rng.uniform(0.0, late) if self.scene != "queue released" else 0.0)
+                self.at(when, lambda h=h, head=head: self.do(h, head.listed(self.now, ListKind.CHANGES, entries)))
+        while self.events and self.events[0][0] < END_MS:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        return self.worst(), self.served / max(1, self.asks)
+
+    def come(self) -> None:
+        hot = self.scene == "hot extent" and START_MS + 1000.0 < self.now < START_MS + 8000.0
+        burst = 1.0 if self.scene != "hot extent" else 1.0 if hot else 0.5
+        self.at(self.now + self.rng.expovariate(self.rate * burst), self.come)
+        h = bisect_left(self.weights, self.rng.random() * self.weights[-1])
+        extent = self.rng.randrange(200)
+        if hot and self.rng.random() < 0.5:
+            h, extent = h % 3, 7  # one volume's, through three heads
+        self.take(h, f"e{extent}", self.now + 2500.0, 2)
+
+    def take(self, h: int, extent: str, leaves: float, again: int) -> None:
+        if self.now >= START_MS:
+            self.asks += 1
+        units, key = self.rng.choice((1.0, 2.0, 2.0, 3.0)), next(self.ids)
+        kind = "look" if self.rng.random() < 0.7 else "save"
+        access, changes = self.heads[h].take(
+            self.now, key, extent, kind, "gold", f"v{extent}", 3, 0, units, leaves, again < 2
+        )
+        access.story = (h, extent, leaves, again)
+        self.do(h, changes)
+
+    def do(self, h: int, changes: Changes) -> None:
+        for access in changes.handles:
+            trips, recalls, answer = access.drain()
+            for trip in trips:
+                self.send(h, access, trip)
+            if answer is not None:
+                _, extent, leaves, again = access.story
+                back = self.now + answer.stay_away_ms
+                if answer.final is Final.PUSHED_BACK and again and back < leaves:
+                    self.at(back, lambda x=extent, at=leaves, n=again - 1: self.take(h, x, at, n))
+            for number in recalls:
+                self.at(self.now, lambda a=access, n=number: self.recalled(h, a, n))
+        if changes.wake_ms is not None and changes.wake_ms < self.wakes[h]:
+            self.wakes[h] = changes.wake_ms
+            self.at(changes.wake_ms, lambda: self.woken(h))
+
+    def recalled(self, h: int, access: Any, number: int) -> None:
+        self.do(h, access.ended(self.now, number, Outcome.RECALLED, access.over, 1.0))
+
+    def woken(self, h: int) -> None:
+        self.wakes[h] = math.inf
+        self.do(h, self.heads[h].woken(self.now))
+
+    def send(self, h: int, access: Any, trip: Any) -> None:
+        number, left = access.sent - 1, self.now
+        up = self.up.get(trip.shelf, True)
+        shelfs = self.heads[h].shelfs
+        knows = shelfs.cold_ms[access.shelf] is not None  # told, or suspected: no other head can hold back
+        if up and self.now >= START_MS and knows:
+            self.sends.append((self.now, access.units / self.cfg.mean_units))
+        if not up and self.scene == "queue released":
+            when, outcome = trip.until_ms, Outcome.OVERDUE
+        elif not up:
+            when, outcome = self.now + (1.0 if self.scene == "suspected" else 250.0), Outcome.UNREACHED
+        else:
+            when, outcome = self.now + self.rng.uniform(20.0, 60.0), Outcome.HONOURED
+
+        def ends() -> None:
+            if access.out and number == access.sent - 1:
+                if outcome is Outcome.HONOURED and not access.over and left >= START_MS:
+                    self.served += 1
+                over = outcome is Outcome.HONOURED or access.over
+                self.do(h, access.ended(self.now, number, outcome, over, self.now - left))
+
+        self.at(max(when, self.now), ends)
+
+    def worst(self) -> float:
+        """The largest sum in any window, over what is still put down to chance then."""
+        cfg, worst, first, total = self.cfg, 0.0, 0, 0.0
+        for at, work in self.sends:
+            total += work
+            while self.sends[first][0] < at - WINDOW_MS:
+                total -= self.sends[first][1]
+                first += 1
+            warmth = cfg.cold_share + (1 - cfg.cold_share) * max(0.0, at - WINDOW_MS - START_MS) / cfg.warm_ms
+            if at < START_MS + cfg.warm_ms:
+                n = cfg.fall_multiple * warmth * self.units_s * WINDOW_MS / 1000.0 / cfg.mean_units
+                worst = max(worst, total / (n + 2 * math.sqrt(n) + 2))
+        return worst
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,161 @@
+"""Heads as processes: started while discovery is down, many at once, told to reload or end while they load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import LOOPBACK
+from service_rig import CONFIG, SETTINGS, Client, Shelf, ask, entry, listing
+
+SHORT = {**SETTINGS, "classes": [{**c, "give_up_s": 0.5} for c in SETTINGS["classes"]]}
+READY = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+WITHIN_S = 10.0
+
+
+@pytest.fixture
+def silent() -> Iterator[str]:
+    """The address of a discovery that is down as the platform's is: it takes connections and says nothing."""
+    with socket.create_server((LOOPBACK, 0), backlog=128) as sock:
+        yield f"{LOOPBACK}:{sock.getsockname()[1]}"
+
+
+class Heads:
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.running = folder, []  # type: ignore[var-annotated]
+
+    def start(self, discovery: str, known: Any) -> tuple[subprocess.Popen[bytes], int]:
+        with socket.create_server((LOOPBACK, 0)) as free:
+            port = free.getsockname()[1]
+        config = {**CONFIG, "listen": f"{LOOPBACK}:{port}", "discovery": discovery, "settings": SHORT}
+        file = self.folder / f"{port}.json"
+        file.write_text(json.dumps(config | ({"known": known} if known else {})))
+        env = {**os.environ, "RELAY_CONFIG": str(file), "PYTHONDONTWRITEBYTECODE": "1"}
+        process = subprocess.Popen([sys.executable, "-m", "pebblehinge.service"], env=env, stderr=subprocess.DEVNULL)
+        self.running.append(process)
+        return process, port
+
+
+@pytest.fixture
+def heads(tmp_path: Path) -> Iterator[Heads]:
+    made = Heads(tmp_path)
+    yield made
+    for process in made.running:
+        process.kill()
+        process.wait()
+
+
+async def asks(port: int, data: bytes) -> Any:
+    """The answer to what is sent once somebody listens there, or None."""
+    client = Client()
+    try:
+        await asyncio.get_running_loop().create_connection(lambda: client, LOOPBACK, port)
+        client.write(data)
+        return await client.answer()
+    except (OSError, AssertionError):
+        return None
+    finally:
+        if client.seen:
+            client.transport.abort()
+
+
+async def ready(port: int) -> float:
+    """How long it takes to be ready (s)."""
+    began = time.monotonic()
+    while time.monotonic() - began < 3 * WITHIN_S:
+        answer = await asks(port, READY)
+        if answer is not None and answer.status == 200:
+            break
+        await asyncio.sleep(0.02)
+    return time.monotonic() - began
+
+
+def test_many_that_start_at_once_with_discovery_down_soon_decide_by_the_list_they_had(
+    heads: Heads, silent: str
+) -> None:
+    async def script() -> None:
+        shelf = Shelf()
+        await shelf.start()
+        ports = [heads.start(silent, listing(1, entry("s0", shelf.port, 0)))[1] for _ in range(12)]
+        took = await asyncio.gather(*(ready(port) for port in ports))
+        assert max(took) < WITHIN_S, took
+        answers = await asyncio.gather(*(asks(port, ask()) for port in ports))
+        assert [a.status for a in answers] == [200] * 12 and len(shelf.asked) == 12
+
+    asyncio.run(script())
+
+
+@pytest.mark.parametrize("known", [None, {"version": 1, "servers": "none"}])
+def test_with_no_list_at_all_a_head_is_ready_in_time_and_says_when_to_return(
+    heads: Heads, silent: str, known: Any
+) -> None:
+    """It was never ready: with discovery down and no list that can be read, for as long as that lasted."""
+
+    async def script() -> None:
+        _, port = heads.start(silent, known)
+        assert await ready(port) < WITHIN_S
+        answer = await asks(port, ask())
+        assert answer.status == 503 and answer.all(b"retry-after")
+
+    asyncio.run(script())
+
+
+def catches(process: subprocess.Popen[bytes], number: int) -> None:
+    """Waits until a process has a handler for a signal: that is before anything of weight is loaded."""
+    until = time.monotonic() + 10.0
+    while time.monotonic() < until:
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
+        if int(caught.split()[1], 16) >> (number - 1) & 1:
+            return
+    raise AssertionError("no handler was set")
+
+
+def loaded(process: subprocess.Popen[bytes]) -> bool:
+    return "uvloop" in Path(f"/proc/{process.pid}/maps").read_text()
+
+
+def test_a_reload_while_a_head_still_loads_does_not_end_it(heads: Heads, silent: str) -> None:
+    """SIGHUP killed a process that had not come to set its handler."""
+
+    async def script() -> None:
+        shelf = Shelf()
+        await shelf.start()
+        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)))
+        catches(process, signal.SIGHUP)
+        assert not loaded(process)
+        process.send_signal(signal.SIGHUP)
+        assert await ready(port) < WITHIN_S and process.poll() is None
+
+    asyncio.run(script())
+
+
+def test_an_end_while_a_head_still_loads_is_its_whole_life_and_no_crash(heads: Heads, silent: str) -> None:
+    """It comes up, serves what clients ask for as long as any head that ends, and ends with status 0."""
+
+    async def script() -> None:
+        shelf = Shelf()
+        await shelf.start()
+        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)))
+        catches(process, signal.SIGTERM)
+        assert not loaded(process)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(number)
+        until = time.monotonic() + WITHIN_S
+        answer = None
+        while answer is None and time.monotonic() < until:
+            answer = await asks(port, ask())
+        assert answer.status == 200
+        assert await asyncio.to_thread(process.wait, WITHIN_S) == 0
+
+    asyncio.run(script())
