--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 test: $(SET_UP)
 	$(BIN)/ruff check --no-cache .
-	PYTHONDONTWRITEBYTECODE=1 $(BIN)/python -m pytest -p no:cacheprovider -n auto --maxprocesses 3 --dist worksteal
+	PYTHONDONTWRITEBYTECODE=1 $(BIN)/python tests/known_red.py -n auto --maxprocesses 3 --dist worksteal
 
 clean:
 	rm -rf $(VENV) build *.egg-info
