A client's headers reach its shelf: the key of a labelled access was dropped

Now all of a client's headers go on but those of its own connection (named as such in HTTP/1.1, or by Connection) and those that the head words itself.

--- a/pebblehinge/service/requests.py
+++ b/pebblehinge/service/requests.py
@@ -14,6 +14,11 @@
 UNITS = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,6})?")
 SHARD = re.compile(rb"-1|[0-9]{1,6}")
 ONCE = (b"host", b"x-request-id", b"x-class", b"x-plan", b"cookie", b"x-deadline-ms", b"x-io", b"x-retry")
+# Headers that belong to one connection, or that this head words itself; all others are the client's to its shelf.
+OF_THE_LINE = {
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te", b"trailer",
+    b"transfer-encoding", b"upgrade", b"expect", b"content-length", b"x-deadline-ms",
+}  # fmt: skip
 PASSED_ON = {
     b"host": b"Host", b"x-request-id": b"X-Request-Id", b"x-class": b"X-Class", b"x-plan": b"X-Plan",
     b"cookie": b"Cookie", b"x-io": b"X-IO", b"x-retry": b"X-Retry", b"content-type": b"Content-Type",
@@ -89,6 +94,7 @@
         raise HttpError(400, "X-IO: units or hosts beyond what there is")
     if config.shards and asked.slot >= config.shards:
         raise HttpError(400, "X-IO: no such shard")
-    passed = [(PASSED_ON[name], value) for name, value in request.headers if name in PASSED_ON]
+    named = {name.strip().lower() for value in request.all(b"connection") for name in value.split(b",")}
+    passed = [(PASSED_ON.get(n, n), v) for n, v in request.headers if n not in OF_THE_LINE and n not in named]
     asked.head = write_request(request.method, target, passed, request.body)
     return asked
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -28,6 +28,20 @@
     on_rig(script)
 
 
+def test_what_a_client_says_to_its_shelf_is_passed_on_and_what_it_says_to_the_head_is_not() -> None:
+    """Only headers that the page of the protocol names were: the key by which a shelf knows a repeat was lost."""
+
+    async def script(rig: Rig) -> None:
+        more = {"Idempotency-Key": "5f1c", "X-Odd": "ab", "Connection": "keep-alive, X-Mine", "X-Mine": "1", "TE": "x"}
+        assert (await rig.ask(ask("save", 0, b"abc", **more))).status == 200
+        ((_, request),) = rig.shelfs[0].asked
+        assert request.all(b"idempotency-key") == [b"5f1c"] and request.all(b"x-odd") == [b"ab"]
+        names = [name for name, _ in request.headers]
+        assert not {b"connection", b"x-mine", b"te"} & set(names) and len(names) == len(set(names))
+
+    on_rig(script)
+
+
 def test_requests_sent_ahead_in_any_pieces_are_answered_in_order() -> None:
     async def script(rig: Rig) -> None:
         held: list[tuple[ShelfPeer, Request]] = []
