An answer of status 020 no longer holds the head's loop for ever; orders at endings forced

Seen: tests/test_endings.py stood still at 'HTTP/1.1 020 OK, Content-Length: 2' and never came back, the process at full load. A head that gets it from a shelf is gone. Ruled out: the other spoilt answers, each by itself. Faulty lines: http1, _Reader._next and _end: a status under 100 counted as one without a body, llhttp waited for one, and a piece of no bytes was handed to it again and again. Now a status outside 100 to 599 can't be read, and a piece of no bytes is the end of any message: the general defence.

http1/messages.py is split: reader, messages, writing. tests/test_endings.py forces: a dial and its time in one turn, an answer and its time, a pooled connection that ends as it is used, 15 spoilt answers, a part written at the end of a life, a reload beside the end, two heads in one process, tables that are full of what is owed.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,245 @@
+"""Two events in one instant, each order forced: timers and what they time, the end of a life, settings that change."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import socket
+import struct
+import time
+from pathlib import Path
+
+import pytest
+from gate import Gate
+from helpers import LOOPBACK, until
+from service_rig import CONFIG, OK, SETTINGS, Rig, ShelfPeer, answers, ask, on_rig
+from test_service_life import connect, status
+
+from pebblehinge.decide import access, path, worth
+from pebblehinge.http1 import Request
+from pebblehinge.interface import Outcome
+from pebblehinge.service.server import Service
+from pebblehinge.stated import read_settings
+
+# ---- a timer and its event in one turn
+
+
+@pytest.mark.parametrize("first", ["the connection", "its time"])
+def test_a_connection_that_comes_up_as_its_time_is_over_is_used_or_closed_once(first: str) -> None:
+    async def script(rig: Rig) -> None:
+        shelfs, gate, dials = rig.head.shelfs, Gate(rig.head.loop), []
+        shelfs.loop = gate  # type: ignore[assignment]
+        late = shelfs._late
+        shelfs._late = lambda dial: dials.append(dial)  # type: ignore[method-assign]
+        client = await rig.client()
+        client.write(ask(X_Deadline_Ms="800"))
+        await until(lambda: dials)
+        shelfs._late = late  # type: ignore[method-assign]
+        acts = [gate.opens.set, lambda: late(dials[0])]
+        for act in acts if first == "the connection" else acts[::-1]:
+            act()
+        answer = await client.answer()
+        assert answer.status in (200, 503)
+        await until(lambda: not shelfs.out and not shelfs.dialling)
+        kept = len(shelfs.table["s0"].idle)
+        await until(lambda: shelfs.connections == kept)
+        assert rig.head.core.outcomes[Outcome.HONOURED] == (answer.status == 200)
+
+    on_rig(script, connect_ms=30.0)
+
+
+@pytest.mark.parametrize("first", ["the answer", "its time"])
+def test_an_answer_that_comes_as_its_time_is_over_is_one_answer(first: str) -> None:
+    async def script(rig: Rig) -> None:
+        held: list[ShelfPeer] = []
+        rig.shelfs[0].does = lambda conn, request: held.append(conn)
+        client = await rig.client()
+        client.write(ask("save", 0, b"abc"))
+        await until(lambda: held)
+        (taken,) = rig.head.core.taken.values()
+        held[0].write(OK)
+        if first == "its time":
+            rig.head.shelfs._overdue(taken.trip)
+        else:
+            time.sleep(0.02)
+            await until(lambda: not rig.head.core.taken)
+        assert (await client.answer()).status == (502 if first == "its time" else 200)
+        await asyncio.sleep(0.02)
+        assert len(client.answers) == 1 and sum(rig.head.core.outcomes.values()) == 1 and not rig.head.core.taken
+
+    on_rig(script)
+
+
+def test_a_pooled_connection_that_ends_as_it_is_to_be_used_is_not() -> None:
+    """The loop has not read it yet: the socket tells."""
+
+    async def script(rig: Rig) -> None:
+        client = await rig.client()
+        client.write(ask("save", 0, b"abc"))
+        await client.answer()
+        (conn,) = rig.shelfs[0].conns
+        client.write(ask("save", 0, b"abc"))
+        with socket.socket(fileno=conn.transport.get_extra_info("socket").fileno()) as own:
+            own.shutdown(socket.SHUT_WR)  # now, not when the loop comes to it
+            own.detach()
+        assert (await client.answer()).status == 200 and len(rig.shelfs[0].conns) == 2
+        assert rig.head.core.outcomes[Outcome.BROKEN] == 0
+
+    on_rig(script)
+
+
+def reset(data: bytes):  # type: ignore[no-untyped-def]
+    def does(conn: ShelfPeer, request: Request) -> None:
+        sock = conn.transport.get_extra_info("socket")
+        conn.write(data)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        asyncio.get_running_loop().call_later(0.01, conn.transport.abort)
+
+    return does
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SPOILT = {
+    "no length and a reset": reset(HEAD + b"\r\nok"),
+    "no length and an end": answers(HEAD + b"\r\nok", close=True),
+    "cut in its head": answers(HEAD + b"Content-Le", close=True),
+    "cut in a chunk": answers(HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", close=True),
+    "cut before the last chunk": answers(HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", close=True),
+    "cut in its body by a reset": reset(HEAD + b"Content-Length: 5\r\n\r\nok"),
+    "two lengths": answers(HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!"),
+    "a length and chunks": answers(HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+    "a status too large": answers(b"HTTP/1.1 1200 OK\r\nContent-Length: 2\r\n\r\nok"),
+    "a status too small": answers(b"HTTP/1.1 020 OK\r\nContent-Length: 2\r\n\r\nok"),
+    "a status too small and no length": answers(b"HTTP/1.1 099 OK\r\n\r\nok"),
+    "a status no class knows": answers(b"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok"),
+    "1xx without end": answers(b"HTTP/1.1 103 Hints\r\n\r\n" * 50 + OK),
+    "too long": answers(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"10000\r\n" + b"x" * 65536 + b"\r\n" * 1
+                        + (b"10000\r\n" + b"x" * 65536 + b"\r\n") * 20),
+    "chunks of one byte without end": answers(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 200_000),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("what", SPOILT)
+def test_a_spoilt_answer_is_passed_on_to_nobody_and_may_have_run(what: str) -> None:
+    async def script(rig: Rig) -> None:
+        rig.shelfs[0].does = SPOILT[what]
+        answer = await rig.ask(ask("save", 0, b"abc", X_Deadline_Ms="400"))
+        assert answer.status == 502 and answer.body == b"" and len(rig.shelfs[0].asked) == 1
+        await until(lambda: rig.head.shelfs.held == 0 and rig.head.shelfs.connections == 0)
+        rig.shelfs[0].does = lambda conn, request: conn.write(OK)
+        assert (await rig.ask(ask("save", 0, b"abc"))).body == b"ok"
+
+    on_rig(script)
+
+
+# ---- the end of a life
+
+
+def test_an_answer_that_is_partly_written_goes_out_whole_before_the_end() -> None:
+    async def script(rig: Rig) -> None:
+        body = bytes(range(256)) * 3000
+        rig.shelfs[0].does = lambda conn, request: conn.write(HEAD + b"Content-Length: 768000\r\n\r\n" + body)
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        raw.connect((LOOPBACK, rig.port))
+        await until(lambda: rig.head.door.fresh)
+        (conn,) = rig.head.door.fresh
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        assert conn.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        raw.sendall(ask())
+        await until(lambda: conn.full)
+        rig.head.leave()
+        await asyncio.sleep(1.2)  # past the kill, which may come late
+        assert not rig.head.stopped.done()
+        raw.settimeout(5.0)
+
+        def read() -> bytes:
+            got = b""
+            while piece := raw.recv(65536):
+                got += piece
+            return got
+
+        got = await asyncio.to_thread(read)
+        await rig.head.stopped
+        assert got.endswith(body)
+        raw.close()
+
+    on_rig(script, longest_ms=400.0)
+
+
+def test_a_reload_beside_the_end_changes_neither_the_end_nor_what_is_owed(tmp_path: Path) -> None:
+    async def script(rig: Rig) -> None:
+        rig.shelfs[0].does = lambda conn, request: None
+        client, kept = await rig.client(), connect(rig)
+        client.write(ask(X_Deadline_Ms="9000"))
+        await until(lambda: rig.shelfs[0].asked)
+        file = tmp_path / "config.json"
+        less = {**SETTINGS, "classes": SETTINGS["classes"][1:],
+                "family_info": {**SETTINGS["family_info"], "writes": [True]}}  # fmt: skip
+        file.write_text(json.dumps({**CONFIG, "discovery": f"{LOOPBACK}:{rig.discovery.port}", "settings": less}))
+        rig.head.path = str(file)
+        rig.head.reload()
+        rig.head.leave()
+        rig.head.reload()
+        rig.head.leave()
+        kept.sendall(ask())  # its class is gone
+        assert await status(kept) == b"400"
+        assert (await client.answer()).status == 503
+        await rig.head.stopped
+        assert rig.head.core.open == 0 and not rig.head.core.taken
+
+    on_rig(script, longest_ms=400.0)
+
+
+# ---- settings, and bounded tables
+
+
+def test_two_heads_in_one_process_share_nothing_of_their_settings() -> None:
+    """Classes, plans and volumes of equal names, another meaning in each."""
+    other = {**SETTINGS, "classes": [{**SETTINGS["classes"][1], "name": "look", "give_up_s": 0.2},
+                                     {**SETTINGS["classes"][0], "name": "save", "give_up_s": 5.0}],
+             "service_levels": [{"base_rate": 1.0, "ceiling_rate": 0.001, "limit_burst": 6.0, "name": "gold"}],
+             "family_info": {**SETTINGS["family_info"], "writes": [False, True]}}  # fmt: skip
+
+    async def script(rig: Rig) -> None:
+        config = dataclasses.replace(rig.head.config, settings=read_settings(other))
+        second = Service(rig.head.loop, config)
+        second.say = lambda what, **facts: None  # type: ignore[method-assign]
+        await second.start()
+        await until(lambda: second.shelfs.table)
+        assert second.listener.socket is not None
+        first_port, second_port = rig.port, second.listener.socket.getsockname()[1]
+        for _ in range(3):  # the second's limit is its own, its store empty: nothing goes
+            rig.port = first_port
+            assert (await rig.ask(ask())).status == 200
+            rig.port = second_port
+            assert (await rig.ask(ask(X_Deadline_Ms="150"))).status == 503
+        rig.port = first_port
+        rig.shelfs[0].does = answers(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+        asked = len(rig.shelfs[0].asked)
+        assert (await rig.ask(ask("save", 0, b"abc"))).status == 502  # irreversible here, whatever it is there
+        assert len(rig.shelfs[0].asked) == asked + 1
+        second.watch.stop()
+
+    on_rig(script)
+
+
+def test_full_tables_drop_nothing_that_is_owed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """More extents and volumes are open at once than are remembered: each has its answer, and nothing is left."""
+    monkeypatch.setattr(access, "REMEMBERED", 4)
+    monkeypatch.setattr(path, "REMEMBERED", 4)
+    monkeypatch.setattr(worth, "REMEMBERED", 4)
+
+    async def script(rig: Rig) -> None:
+        rig.head.core.module.path.extents.most = 4
+        callers = [await rig.client() for _ in range(40)]
+        for n, client in enumerate(callers):
+            io = f"volume={n:016x},units=2,shard=0,hosts=1"
+            client.write(ask(X_IO=io, Cookie=f"block={n:016x}", X_Deadline_Ms="1900"))
+        for client in callers:
+            assert (await client.answer()).status in (200, 503)
+        head = rig.head
+        assert not head.core.taken and not any(head.core.module.shelfs.held) and len(head.core.module.path.extents) <= 4
+
+    on_rig(script)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pebblehinge.http1 import BODY_LIMIT, HttpError, Requests, Responses, Stream, write_answer, write_request
-from pebblehinge.http1.messages import ANSWER_LIMIT, HEAD_LIMIT
+from pebblehinge.http1.reader import ANSWER_LIMIT, HEAD_LIMIT
 
 
 def read(kind: type, data: bytes, cuts: list[int]) -> list[tuple]:
