--- /dev/null
+++ b/tests/life_world.py
@@ -0,0 +1,236 @@
+"""A head's door, core and end of a life in drawn worlds of clients, without sockets."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import math
+import random
+from typing import Any
+
+from service_rig import CONFIG, SETTINGS, ask, entry, listing
+
+from pebblehinge.core import PUSHED_BACK, Core, Taken
+from pebblehinge.decide import NEVER_RAN
+from pebblehinge.http1 import Responses
+from pebblehinge.interface import ListKind, Outcome
+from pebblehinge.service.clients import ClientConn
+from pebblehinge.service.config import read_config
+from pebblehinge.service.door import Door
+from pebblehinge.service.life import Life, Stage
+from pebblehinge.service.lists import Told
+from pebblehinge.stated import read_settings
+
+SLOW = {**SETTINGS, "classes": [{**c, "on_time_s": 2.0, "give_up_s": 9.0} for c in SETTINGS["classes"]]}
+LATE_MS = 90.0  # the longest turn
+ENDS = ((Outcome.HONOURED, 6), (Outcome.ERRED, 1), (Outcome.BROKEN, 1), (Outcome.UNREACHED, 1), (Outcome.OVERDUE, 3))
+
+
+class Wire:
+    """A client's connection, both ends of it: the transport that the door writes to, and what its client saw."""
+
+    def __init__(self, world: World, number: int, pace: int) -> None:
+        self.world, self.number, self.pace = world, number, pace
+        self.unread, self.out, self.shut, self.lost = b"", b"", False, False
+        self.goes_ms = math.inf  # when its client ends its sending and goes
+        self.whole, self.halves, self.answers, self.got = 0, b"", 0, Responses()
+        self.conn: ClientConn | None = None
+
+    def write(self, data: bytes) -> None:
+        if self.lost:
+            return
+        assert not self.shut, "an answer behind the end"
+        self.out += data
+
+    def write_eof(self) -> None:
+        self.shut = True
+
+    def is_closing(self) -> bool:
+        return self.lost
+
+    def abort(self) -> None:
+        assert not self.out or self.gone(), "an answer was cut off"
+        if not self.lost and self.gone():
+            self.world.call_soon(self.ends)
+        self.lost = True
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.out)
+
+    def gone(self) -> bool:
+        return self.goes_ms <= self.world.now
+
+    def ends(self) -> None:
+        """Its end is read behind all that it sent, and its connection is lost."""
+        assert self.conn is not None
+        self.conn.eof_received()
+        self.lost, self.out = True, b""
+        self.conn.connection_lost(None)
+
+    def get_extra_info(self, name: str) -> Wire:
+        return self
+
+    def fileno(self) -> int:
+        return self.number
+
+    def asks(self, data: bytes, whole: int) -> None:
+        if not self.shut and not self.lost and not self.gone():
+            self.unread, self.whole = self.unread + data, self.whole + whole
+
+    def completes(self) -> None:
+        if not self.shut:
+            self.asks(self.halves, 1)
+            self.halves = b""
+
+    def turn(self) -> None:
+        if self.conn is None or self.lost:
+            return
+        if self.gone() and not self.unread:
+            self.ends()
+            return
+        if self.unread:
+            data, self.unread = self.unread, b""
+            self.conn.data_received(data)
+        self.got.feed(self.out[: self.pace])
+        self.out = self.out[self.pace :]
+        while self.got.next() is not None:
+            self.answers += 1
+        if self.shut and not self.out and not self.lost:
+            self.lost = True
+            assert self.conn is not None
+            self.conn.connection_lost(None)
+
+
+class World:
+    def __init__(self, seed: int) -> None:
+        self.rng, self.now, self.order = random.Random(seed), 1000.0, itertools.count()
+        self.events: list[tuple[float, int, Any]] = []
+        self.wires: list[Wire] = []
+        self.queue: list[Wire] = []
+        self.loop, self.late_ms, self.config = self, 0.0, read_config(json.dumps({**CONFIG, "settings": SLOW}).encode())
+        self.never = 0  # trips that were not begun, since their client had gone
+        self.risky: set[str] = set()  # ids of what may have run
+        self.door, self.life, self.done = Door(self), Life(self), False  # type: ignore[arg-type]
+        self.core = Core(self.config.settings, seed, self.now, self)  # type: ignore[arg-type]
+        told = Told(listing(1, entry("s0", 1, 0), entry("s1", 1, 1)))
+        self.core.listed(self.now, ListKind.WHOLE, told.entries)
+
+    def clock(self) -> float:
+        return self.now
+
+    def at(self, when: float, what: Any) -> None:
+        heapq.heappush(self.events, (when, next(self.order), what))
+
+    def call_soon(self, what: Any, *args: Any) -> None:
+        self.at(self.now, lambda: what(*args))
+
+    # what the core has done
+    def send_trip(self, taken: Taken, shelf: str, trip: int, until_ms: float) -> None:
+        taken.trip = token = object()
+        if not self.door.wanted(taken):
+            self.never += 1
+            self.at(self.now, lambda: taken.trip is token and self.core.ended(self.now, taken, trip, Outcome.MOOT, 0.0))
+            return
+        assert not taken.conn.sock.gone(), "a trip began for a client that had gone"  # type: ignore[attr-defined]
+        outcome = self.rng.choices(*zip(*ENDS, strict=True))[0]
+        when = until_ms if outcome is Outcome.OVERDUE else min(until_ms, self.now + self.rng.expovariate(0.004))
+
+        def ends() -> None:
+            if taken.trip is token:
+                self.risky.add(taken.id) if outcome not in NEVER_RAN else None
+                self.core.ended(self.now, taken, trip, outcome, 50.0, b"x" * self.rng.choice((2, 60_000)))
+
+        self.at(when, ends)
+
+    def drop_trip(self, taken: Taken) -> None:
+        self.risky.add(taken.id)
+
+    def answer(self, taken: Taken, final: int, stay_ms: float, reason: str, data: bytes) -> None:
+        assert self.now <= taken.access.abandon_ms + 2 * LATE_MS, "late"  # type: ignore[union-attr]
+        if final == PUSHED_BACK and taken.access.profile.name == "save":  # type: ignore[union-attr]
+            assert taken.trip is None and taken.id not in self.risky, "rule 2"
+        self.door.answer(taken, final, stay_ms, data)
+
+    def wake_at(self, at_ms: float) -> None:
+        self.at(at_ms, lambda: self.core.woken(self.now))
+
+    # the end
+    def answer_by(self, end_ms: float) -> None:
+        self.door.leaving = True
+        self.core.leaves(self.now, end_ms)
+
+    def take_in(self) -> bool:
+        came, self.queue = self.queue, []
+        for wire in came:
+            wire.conn = ClientConn(self.door, wire)  # type: ignore[arg-type]
+            self.door.count += 1
+            wire.conn.connection_made(wire)
+        return bool(came)
+
+    def close_quiet(self, last: bool) -> None:
+        self.door.stop(last)
+
+    def unanswered(self) -> int:
+        return self.door.owed(self.now)
+
+    def over(self) -> None:
+        self.done = True
+
+    def step(self) -> None:
+        at = self.life.step(self.now)
+        if at is not None:
+            self.at(at, self.step)
+
+    def leave(self) -> None:
+        at = self.life.leave(self.now, 0.0, self.config.longest_ms)
+        if at is not None:
+            self.at(at, self.step)
+
+    # clients
+    def come(self) -> None:
+        wire = Wire(self, len(self.wires), self.rng.choice((1 << 20, 1 << 20, 2000)))
+        self.wires.append(wire)
+        self.queue.append(wire)
+        self.client(wire)
+
+    def client(self, wire: Wire) -> None:
+        """One thing a client does: a request, one in two halves, or two at once; then again after a while."""
+        request, what = self.request(), self.rng.random()
+        if wire.whole > wire.answers or wire.halves:
+            pass
+        elif what < 0.2:
+            cut = self.rng.randrange(1, len(request))
+            wire.halves = request[cut:]
+            wire.asks(request[:cut], 0)
+            if self.rng.random() < 0.8:
+                self.at(self.now + self.rng.uniform(1.0, 900.0), wire.completes)
+        elif what < 0.35:
+            wire.asks(request + self.request(), 2)
+        else:
+            wire.asks(request, 1)
+        self.at(self.now + self.rng.expovariate(0.003), lambda: self.client(wire))
+
+    def request(self) -> bytes:
+        kind, patience = self.rng.choice(("look", "look", "save")), self.rng.choice((300, 900, 9000))
+        return ask(kind, self.rng.randrange(2), X_Deadline_Ms=str(patience))
+
+    def play(self) -> None:
+        for _ in range(25):
+            self.at(1000.0 + self.rng.uniform(0.0, 2400.0), self.come)
+        for _ in range(2):
+            self.at(1000.0 + self.rng.uniform(0.0, 6000.0), lambda: self.core.adopt(self.now, read_settings(SLOW)))
+        self.at(1000.0 + self.rng.uniform(1000.0, 2000.0), self.leave)
+        self.at(1000.0 + self.rng.uniform(1000.0, 5000.0), self.leave)
+        looked = self.now
+        while not self.done and self.now < 12_000.0:
+            self.now += self.rng.uniform(10.0, LATE_MS) if self.rng.random() < 0.02 else 1.0
+            while self.events and self.events[0][0] <= self.now:
+                heapq.heappop(self.events)[2]()
+            if self.now - looked > 100.0:
+                looked = self.now
+                self.door.look(self.now)
+            for wire in self.wires:
+                wire.turn()
+            if self.life.stage is not Stage.CLOSING:
+                self.take_in()
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -4,219 +4,12 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
-import json
-import random
 from typing import Any
 
 import pytest
-from service_rig import CONFIG, SETTINGS, ask, entry, listing
+from life_world import World
 
-from pebblehinge.core import PUSHED_BACK, Core, Taken
-from pebblehinge.decide import NEVER_RAN
-from pebblehinge.http1 import Responses
-from pebblehinge.interface import ListKind, Outcome
 from pebblehinge.service import clients
-from pebblehinge.service.clients import ClientConn
-from pebblehinge.service.config import read_config
-from pebblehinge.service.door import Door
-from pebblehinge.service.life import Life, Stage
-from pebblehinge.service.lists import Told
-from pebblehinge.stated import read_settings
-
-SLOW = {**SETTINGS, "classes": [{**c, "on_time_s": 2.0, "give_up_s": 9.0} for c in SETTINGS["classes"]]}
-LATE_MS = 90.0  # the longest turn
-ENDS = ((Outcome.HONOURED, 6), (Outcome.ERRED, 1), (Outcome.BROKEN, 1), (Outcome.UNREACHED, 1), (Outcome.OVERDUE, 3))
-
-
-class Wire:
-    """A client's connection, both ends of it: the transport that the door writes to, and what its client saw."""
-
-    def __init__(self, world: World, number: int, pace: int) -> None:
-        self.world, self.number, self.pace = world, number, pace
-        self.unread, self.out, self.shut, self.lost, self.reads = b"", b"", False, False, True
-        self.whole, self.halves, self.answers, self.got = 0, b"", 0, Responses()
-        self.conn: ClientConn | None = None
-
-    def write(self, data: bytes) -> None:
-        assert not self.shut, "an answer behind the end"
-        self.out += data
-
-    def write_eof(self) -> None:
-        self.shut = True
-
-    def is_closing(self) -> bool:
-        return self.lost
-
-    def abort(self) -> None:
-        assert not self.out, "an answer was cut off"
-        self.lost = True
-
-    def get_write_buffer_size(self) -> int:
-        return len(self.out)
-
-    def pause_reading(self) -> None:
-        self.reads = False
-
-    def resume_reading(self) -> None:
-        self.reads = True
-
-    def get_extra_info(self, name: str) -> Wire:
-        return self
-
-    def fileno(self) -> int:
-        return self.number
-
-    def asks(self, data: bytes, whole: int) -> None:
-        if not self.shut and not self.lost:
-            self.unread, self.whole = self.unread + data, self.whole + whole
-
-    def completes(self) -> None:
-        if not self.shut:
-            self.asks(self.halves, 1)
-            self.halves = b""
-
-    def turn(self) -> None:
-        if self.conn is not None and self.unread and self.reads:
-            data, self.unread = self.unread, b""
-            self.conn.data_received(data)
-        self.got.feed(self.out[: self.pace])
-        self.out = self.out[self.pace :]
-        while self.got.next() is not None:
-            self.answers += 1
-        if self.shut and not self.out and not self.lost:
-            self.lost = True
-            assert self.conn is not None
-            self.conn.connection_lost(None)
-
-
-class World:
-    def __init__(self, seed: int) -> None:
-        self.rng, self.now, self.order = random.Random(seed), 1000.0, itertools.count()
-        self.events: list[tuple[float, int, Any]] = []
-        self.wires: list[Wire] = []
-        self.queue: list[Wire] = []
-        self.loop, self.late_ms, self.config = self, 0.0, read_config(json.dumps({**CONFIG, "settings": SLOW}).encode())
-        self.risky: set[str] = set()  # ids of what may have run
-        self.door, self.life, self.done = Door(self), Life(self), False  # type: ignore[arg-type]
-        self.core = Core(self.config.settings, seed, self.now, self)  # type: ignore[arg-type]
-        told = Told(listing(1, entry("s0", 1, 0), entry("s1", 1, 1)))
-        self.core.listed(self.now, ListKind.WHOLE, told.entries)
-
-    def clock(self) -> float:
-        return self.now
-
-    def at(self, when: float, what: Any) -> None:
-        heapq.heappush(self.events, (when, next(self.order), what))
-
-    def call_soon(self, what: Any) -> None:
-        self.at(self.now, what)
-
-    # what the core has done
-    def send_trip(self, taken: Taken, shelf: str, trip: int, until_ms: float) -> None:
-        taken.trip = token = object()
-        outcome = self.rng.choices(*zip(*ENDS, strict=True))[0]
-        when = until_ms if outcome is Outcome.OVERDUE else min(until_ms, self.now + self.rng.expovariate(0.004))
-
-        def ends() -> None:
-            if taken.trip is token:
-                self.risky.add(taken.id) if outcome not in NEVER_RAN else None
-                self.core.ended(self.now, taken, trip, outcome, 50.0, b"x" * self.rng.choice((2, 60_000)))
-
-        self.at(when, ends)
-
-    def drop_trip(self, taken: Taken) -> None:
-        self.risky.add(taken.id)
-
-    def answer(self, taken: Taken, final: int, stay_ms: float, reason: str, data: bytes) -> None:
-        assert self.now <= taken.access.abandon_ms + 2 * LATE_MS, "late"  # type: ignore[union-attr]
-        if final == PUSHED_BACK and taken.access.profile.name == "save":  # type: ignore[union-attr]
-            assert taken.trip is None and taken.id not in self.risky, "rule 2"
-        self.door.answer(taken, final, stay_ms, data)
-
-    def wake_at(self, at_ms: float) -> None:
-        self.at(at_ms, lambda: self.core.woken(self.now))
-
-    # the end
-    def answer_by(self, end_ms: float) -> None:
-        self.door.leaving = True
-        self.core.leaves(self.now, end_ms)
-
-    def take_in(self) -> bool:
-        came, self.queue = self.queue, []
-        for wire in came:
-            wire.conn = ClientConn(self.door, wire)  # type: ignore[arg-type]
-            self.door.count += 1
-            wire.conn.connection_made(wire)
-        return bool(came)
-
-    def close_quiet(self, last: bool) -> None:
-        self.door.stop(last)
-
-    def unanswered(self) -> int:
-        return self.door.owed(self.now)
-
-    def over(self) -> None:
-        self.done = True
-
-    def step(self) -> None:
-        at = self.life.step(self.now)
-        if at is not None:
-            self.at(at, self.step)
-
-    def leave(self) -> None:
-        at = self.life.leave(self.now, 0.0, self.config.longest_ms)
-        if at is not None:
-            self.at(at, self.step)
-
-    # clients
-    def come(self) -> None:
-        wire = Wire(self, len(self.wires), self.rng.choice((1 << 20, 1 << 20, 2000)))
-        self.wires.append(wire)
-        self.queue.append(wire)
-        self.client(wire)
-
-    def client(self, wire: Wire) -> None:
-        """One thing a client does: a request, one in two halves, or two at once; then again after a while."""
-        request, what = self.request(), self.rng.random()
-        if wire.whole > wire.answers or wire.halves:
-            pass
-        elif what < 0.2:
-            cut = self.rng.randrange(1, len(request))
-            wire.halves = request[cut:]
-            wire.asks(request[:cut], 0)
-            if self.rng.random() < 0.8:
-                self.at(self.now + self.rng.uniform(1.0, 900.0), wire.completes)
-        elif what < 0.35:
-            wire.asks(request + self.request(), 2)
-        else:
-            wire.asks(request, 1)
-        self.at(self.now + self.rng.expovariate(0.003), lambda: self.client(wire))
-
-    def request(self) -> bytes:
-        kind, patience = self.rng.choice(("look", "look", "save")), self.rng.choice((300, 900, 9000))
-        return ask(kind, self.rng.randrange(2), X_Deadline_Ms=str(patience))
-
-    def play(self) -> None:
-        for _ in range(25):
-            self.at(1000.0 + self.rng.uniform(0.0, 2400.0), self.come)
-        for _ in range(2):
-            self.at(1000.0 + self.rng.uniform(0.0, 6000.0), lambda: self.core.adopt(self.now, read_settings(SLOW)))
-        self.at(1000.0 + self.rng.uniform(1000.0, 2000.0), self.leave)
-        self.at(1000.0 + self.rng.uniform(1000.0, 5000.0), self.leave)
-        looked = self.now
-        while not self.done and self.now < 12_000.0:
-            self.now += self.rng.uniform(10.0, LATE_MS) if self.rng.random() < 0.02 else 1.0
-            while self.events and self.events[0][0] <= self.now:
-                heapq.heappop(self.events)[2]()
-            if self.now - looked > 100.0:
-                looked = self.now
-                self.door.look(self.now)
-            for wire in self.wires:
-                wire.turn()
-            if self.life.stage is not Stage.CLOSING:
-                self.take_in()
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -225,6 +18,7 @@
 ) -> None:
     world = World(seed)
     monkeypatch.setattr(clients, "readable", lambda number: bool(world.wires[number].unread))
+    monkeypatch.setattr(clients, "ended", lambda wire: wire.gone())
     world.play()
     assert world.done and not world.core.open and not world.queue
     assert sum(w.whole for w in world.wires) > 60
@@ -232,3 +26,30 @@
         assert not wire.out and not (wire.unread and not wire.shut)
         refused_half = wire.answers == wire.whole + 1 and wire.shut and wire.halves
         assert wire.answers == wire.whole or refused_half, (wire.number, wire.answers, wire.whole)
+
+
+def test_whatever_the_order_nothing_begins_for_a_client_that_has_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Half of the clients go at drawn times, what they sent yet unread or not; each that stays has its answers."""
+    never = 0
+    for seed in range(30):
+        world = World(seed)
+        monkeypatch.setattr(clients, "readable", lambda number, w=world: bool(w.wires[number].unread))
+        monkeypatch.setattr(clients, "ended", lambda wire: wire.gone())
+        come = world.come
+
+        def comes(world: World = world, come: Any = come) -> None:
+            come()
+            if world.rng.random() < 0.5:
+                world.wires[-1].goes_ms = world.now + world.rng.uniform(0.0, 2000.0)
+
+        world.come = comes  # type: ignore[method-assign]
+        world.play()
+        assert world.done and not (world.core.open or world.core.taken or world.door.ids or world.queue)
+        counts = world.core.counts
+        assert counts["taken"] == sum(counts[how] for how in ("honoured", "pushed back", "terminated", "left"))
+        for wire in world.wires:
+            if not wire.gone():
+                refused_half = wire.answers == wire.whole + 1 and wire.shut and wire.halves
+                assert wire.answers == wire.whole or refused_half
+        never += world.never
+    assert never > 5
