--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -18,6 +18,8 @@
 from helpers import LOOPBACK
 from service_rig import CONFIG, SETTINGS, Client, Shelf, ask, entry, listing
 
+from pebblehinge.service import early
+
 SHORT = {**SETTINGS, "classes": [{**c, "give_up_s": 0.5} for c in SETTINGS["classes"]]}
 READY = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
 WITHIN_S = 10.0
@@ -34,14 +36,15 @@
     def __init__(self, folder: Path) -> None:
         self.folder, self.running = folder, []  # type: ignore[var-annotated]
 
-    def start(self, discovery: str, known: Any) -> tuple[subprocess.Popen[bytes], int]:
+    def start(self, discovery: str, known: Any, how: list[str] | None = None) -> tuple[subprocess.Popen[bytes], int]:
         with socket.create_server((LOOPBACK, 0)) as free:
             port = free.getsockname()[1]
         config = {**CONFIG, "listen": f"{LOOPBACK}:{port}", "discovery": discovery, "settings": SHORT}
         file = self.folder / f"{port}.json"
         file.write_text(json.dumps(config | ({"known": known} if known else {})))
         env = {**os.environ, "RELAY_CONFIG": str(file), "PYTHONDONTWRITEBYTECODE": "1"}
-        process = subprocess.Popen([sys.executable, "-m", "pebblehinge.service"], env=env, stderr=subprocess.DEVNULL)
+        command = [sys.executable, *(how or ["-m", "pebblehinge.service"])]
+        process = subprocess.Popen(command, env=env, stderr=subprocess.DEVNULL)
         self.running.append(process)
         return process, port
 
@@ -110,19 +113,20 @@
     asyncio.run(script())
 
 
-def catches(process: subprocess.Popen[bytes], number: int) -> None:
-    """Waits until a process has a handler for a signal: that is before anything of weight is loaded."""
-    until = time.monotonic() + 10.0
-    while time.monotonic() < until:
-        status = Path(f"/proc/{process.pid}/status").read_text()
-        caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
-        if int(caught.split()[1], 16) >> (number - 1) & 1:
-            return
-    raise AssertionError("no handler was set")
+def while_it_loads(*numbers: signal.Signals) -> list[str]:
+    """How a head is started that gets signals once it has begun and before anything of weight is loaded."""
+    kills = "; ".join(f"os.kill(os.getpid(), {int(number)})" for number in numbers)
+    begun = "import os, runpy, sys; from pebblehinge.service import early; early.hold(); "
+    rest = "; assert 'uvloop' not in sys.modules; runpy.run_module('pebblehinge.service', run_name='__main__')"
+    return ["-c", begun + kills + rest]
 
 
-def loaded(process: subprocess.Popen[bytes]) -> bool:
-    return "uvloop" in Path(f"/proc/{process.pid}/maps").read_text()
+def test_signals_are_kept_before_anything_else_is_loaded() -> None:
+    lines = (Path(early.__file__).parent / "__main__.py").read_text().splitlines()
+    loads = [n for n, line in enumerate(lines) if line.startswith(("import", "from")) and "E402" in line]
+    assert 0 < next(n for n, line in enumerate(lines) if "early.hold()" in line) < loads[0]
+    before = [line for line in lines[: loads[0]] if line.startswith(("import", "from"))]
+    assert before == ["import os", "import sys", "from pebblehinge.service import early"]
 
 
 def test_a_reload_while_a_head_still_loads_does_not_end_it(heads: Heads, silent: str) -> None:
@@ -131,10 +135,8 @@
     async def script() -> None:
         shelf = Shelf()
         await shelf.start()
-        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)))
-        catches(process, signal.SIGHUP)
-        assert not loaded(process)
-        process.send_signal(signal.SIGHUP)
+        how = while_it_loads(signal.SIGHUP)
+        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)), how)
         assert await ready(port) < WITHIN_S and process.poll() is None
 
     asyncio.run(script())
@@ -146,11 +148,8 @@
     async def script() -> None:
         shelf = Shelf()
         await shelf.start()
-        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)))
-        catches(process, signal.SIGTERM)
-        assert not loaded(process)
-        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
-            process.send_signal(number)
+        how = while_it_loads(signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+        process, port = heads.start(silent, listing(1, entry("s0", shelf.port, 0)), how)
         until = time.monotonic() + WITHIN_S
         answer = None
         while answer is None and time.monotonic() < until:
