Read over: what the protocol needs is passed on whatever Connection names; one cut of a trip

Shelfs.drop spelled out what _cut does. Three tests set up the same client that does not read: slow_reader.

--- a/pebblehinge/http1/reader.py
+++ b/pebblehinge/http1/reader.py
@@ -1,4 +1,4 @@
-"""Whole messages out of bytes in any pieces, on llhttp's strict grammar, and the bytes of our own messages.
+"""Whole messages out of bytes in any pieces, on llhttp's strict grammar.
 
 A reader stops at a message's end and keeps what follows. llhttp bounds nothing and judges lengths leniently in
 places: bytes of the head, count of headers, body, and how a body's length is told are looked at here.
--- a/pebblehinge/service/shelfs.py
+++ b/pebblehinge/service/shelfs.py
@@ -78,9 +78,7 @@
     def drop(self, trip: Trip) -> None:
         """It is given up: its connection is closed, one that is still being made is kept for others."""
         self._end(trip)
-        if trip.conn is not None:
-            trip.conn.trip = None
-            trip.conn.transport.abort()
+        self._cut(trip)
 
     def over(self, trip: Trip, outcome: Outcome, data: bytes = b"") -> None:
         if trip.taken.trip is trip:
--- a/tests/test_client_goes.py
+++ b/tests/test_client_goes.py
@@ -12,7 +12,7 @@
 import pytest
 from helpers import LOOPBACK, until
 from service_rig import OK, SETTINGS, Rig, ShelfPeer, ask, on_rig
-from test_service_life import connect, status
+from test_service_life import connect, slow_reader, status
 
 from pebblehinge.http1 import Request
 from pebblehinge.service import clients, door, peek
@@ -108,12 +108,7 @@
         large = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000
         rig.shelfs[0].does = lambda conn, request: conn.write(large)
         rig.shelfs[1].does = lambda conn, request: None
-        raw = socket.socket()
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        raw.connect((LOOPBACK, rig.port))
-        await until(lambda: rig.head.door.fresh)
-        (conn,) = rig.head.door.fresh
-        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        raw, conn = await slow_reader(rig)
         raw.sendall(ask() + ask(shard=1, X_Deadline_Ms="1900"))
         await until(lambda: rig.shelfs[0].asked)
         await until(lambda: rig.shelfs[1].asked)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 from gate import Gate
 from helpers import LOOPBACK, until
 from service_rig import CONFIG, OK, SETTINGS, Rig, ShelfPeer, answers, ask, on_rig
-from test_service_life import connect, status
+from test_service_life import connect, slow_reader, status
 
 from pebblehinge.decide import access, path, worth
 from pebblehinge.http1 import Request
@@ -140,12 +140,7 @@
     async def script(rig: Rig) -> None:
         body = bytes(range(256)) * 800
         rig.shelfs[0].does = lambda conn, request: conn.write(HEAD + b"Content-Length: 204800\r\n\r\n" + body)
-        raw = socket.socket()
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        raw.connect((LOOPBACK, rig.port))
-        await until(lambda: rig.head.door.fresh)
-        (conn,) = rig.head.door.fresh
-        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        raw, conn = await slow_reader(rig)
         assert conn.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         raw.sendall(ask())
         await until(lambda: conn.full)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -32,10 +32,11 @@
     """Only headers that the page of the protocol names were: the key by which a shelf knows a repeat was lost."""
 
     async def script(rig: Rig) -> None:
-        more = {"Idempotency-Key": "5f1c", "X-Odd": "ab", "Connection": "keep-alive, X-Mine", "X-Mine": "1", "TE": "x"}
+        more = {"Idempotency-Key": "5f1c", "X-Odd": "ab", "Connection": "X-Mine, X-IO", "X-Mine": "1", "TE": "x"}
         assert (await rig.ask(ask("save", 0, b"abc", **more))).status == 200
         ((_, request),) = rig.shelfs[0].asked
         assert request.all(b"idempotency-key") == [b"5f1c"] and request.all(b"x-odd") == [b"ab"]
+        assert request.all(b"x-io")
         names = [name for name, _ in request.headers]
         assert not {b"connection", b"x-mine", b"te"} & set(names) and len(names) == len(set(names))
 
--- a/tests/test_service_life.py
+++ b/tests/test_service_life.py
@@ -12,6 +12,7 @@
 from helpers import LOOPBACK, until
 from service_rig import SETTINGS, Rig, ask, entry, listing, on_rig
 
+from pebblehinge.service.clients import ClientConn
 from pebblehinge.service.life import Life, Stage
 from pebblehinge.stated import read_settings
 
@@ -111,6 +112,17 @@
     return raw
 
 
+async def slow_reader(rig: Rig) -> tuple[socket.socket, ClientConn]:
+    """A client that does not read, with little room on the way to it; and the head's end of its connection."""
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    raw.connect((LOOPBACK, rig.port))
+    await until(lambda: rig.head.door.fresh)
+    (conn,) = rig.head.door.fresh
+    conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return raw, conn
+
+
 async def status(raw: socket.socket) -> bytes:
     return (await asyncio.to_thread(raw.recv, 4096))[9:12]
 
