Raft: one round of the majority serves all reads that came before it began

Now one round is out at a time; reads that come meanwhile wait for the next one. A read is served only by a round begun after it came: a follower that answered before may follow another leader by now. MOST_READS 4,096: 36 bytes each.

--- a/pebblehinge/raft/common.py
+++ b/pebblehinge/raft/common.py
@@ -39,10 +39,10 @@
         self.heard = 0  # ticks since this follower heard of its leader
         self.transferee: str | None = None
         self.transfer_ticks = 0
-        self.reads: list[tuple[int, int, dict[str, None]]] = []  # round, index, who has answered
-        self.waiting_reads: list[int] = []  # asked before this term has committed anything
-        self.round = 0
-        self.read_of_round: dict[int, int] = {}  # round -> the caller's context
+        self.waiting_reads: list[int] = []  # contexts that wait for a round to begin
+        self.round_reads: list[int] = []  # served by the round that is out; none is out where empty
+        self.round = self.round_index = 0  # the newest round, and the index that its reads are served at
+        self.round_heard: dict[str, None] = {}  # who has answered it
         self.partial: tuple[int, int, bytearray] | None = None  # a snapshot that comes in pieces: index, term, bytes
         self.term_start = 0  # index of the leader's own no-op
         self.out = Ready()
--- a/pebblehinge/raft/elections.py
+++ b/pebblehinge/raft/elections.py
@@ -69,7 +69,7 @@
             return
         self.role, self.leader, self.elapsed = Role.LEADER, self.name, 0
         self.transferee = None
-        self.reads, self.waiting_reads, self.read_of_round = [], [], {}
+        self._lose_reads()
         self.progress = {n: Progress(self.log.last + 1) for n in self.members.all() if n != self.name}
         self.term_start = self.log.last + 1
         self._append(NOOP, b"")
@@ -81,9 +81,7 @@
         self.role, self.leader = Role.FOLLOWER, leader
         self.elapsed, self.timeout = 0, self._draw()
         if was_leader:
-            lost = [self.read_of_round[r] for r, _, _ in self.reads] + self.waiting_reads
-            self.out.reads += [(context, -1) for context in lost]
-            self.reads, self.waiting_reads, self.read_of_round = [], [], {}
+            self._lose_reads()
             self.transferee = None
 
     def _on_timeout(self, m: Message) -> None:
--- a/pebblehinge/raft/leading.py
+++ b/pebblehinge/raft/leading.py
@@ -199,12 +199,8 @@
             return
         index = matches[self.members.quorum() - 1]
         if index > self.commit and self.log.term(index) == self.term:
-            first = self.commit < self.term_start
             self.commit = index
-            if first and self.commit >= self.term_start:
-                waiting, self.waiting_reads = self.waiting_reads, []
-                for context in waiting:
-                    self.read(context)
+            self._begin_round()
             if self.members_at <= self.commit and self.name not in self.members.voters:
                 self._heartbeat()
                 self._follow(self.term, None)  # it was removed: the others go on
--- a/pebblehinge/raft/messages.py
+++ b/pebblehinge/raft/messages.py
@@ -12,7 +12,7 @@
 INFLIGHT = 16  # appends to one follower with no answer yet
 MOST_BYTES = 256 << 10  # of entries in one message
 CHUNK = 64 << 10  # of a snapshot in one message
-MOST_READS = 256  # linearizable reads that wait for their round
+MOST_READS = 4096  # linearizable reads that wait for their round: 36 bytes each here, whoever asked keeps more
 MOST_WAITING = 1024  # proposals in the log that are not committed
 
 
--- a/pebblehinge/raft/reads.py
+++ b/pebblehinge/raft/reads.py
@@ -1,4 +1,9 @@
-"""Linearizable reads by read index: no disk, and no trust in clocks (thesis 6.4)."""
+"""Linearizable reads by read index, batched: one round of the majority serves all reads that came before it began.
+
+A read may only be served by a round that began after the read came: a follower that has answered an earlier round may
+follow another leader by now, and what that one has committed would be missed (thesis 6.4). So reads that come while a
+round is out wait for the next one; at most one is out at a time, and a read waits for two at most.
+"""
 
 from __future__ import annotations
 
@@ -7,30 +12,41 @@
 
 
 class Reads(Common):
-    """Reads that wait for a round of the majority."""
+    """`round` counts a leader's rounds; each append names it, and its answer names it back."""
 
     def read(self, context: int) -> bool:
-        """Asks for an index at which a read is linearizable; it comes in `Ready.reads`. False: not the leader."""
-        if self.role is not Role.LEADER or len(self.reads) + len(self.waiting_reads) >= MOST_READS:
+        """Asks for an index at which a read is linearizable; it comes in `Ready.reads`. False: not the leader, or too
+        much waits."""
+        if self.role is not Role.LEADER or len(self.round_reads) + len(self.waiting_reads) >= MOST_READS:
             return False
-        if self.commit < self.term_start:
-            self.waiting_reads.append(context)
-            return True
+        self.waiting_reads.append(context)
+        self._begin_round()
+        return True
+
+    def _begin_round(self) -> None:
+        """For all reads that have come by now; not before this term has committed anything."""
+        if self.round_reads or not self.waiting_reads or self.commit < self.term_start:
+            return
         self.round += 1
-        self.read_of_round[self.round] = context
-        self.reads.append((self.round, self.commit, {self.name: None}))
+        self.round_reads, self.waiting_reads = self.waiting_reads, []
+        self.round_index, self.round_heard = self.commit, {self.name: None}
         self._heartbeat()
         self._count_reads()
-        return True
 
     def _note_read(self, source: str, context: int) -> None:
-        if source in self.members.voters:
-            for round_, _, who in self.reads:
-                if context >= round_:
-                    who[source] = None
+        """An answer from this term: to the round that is out, or to an older one."""
+        if self.round_reads and context >= self.round and source in self.members.voters:
+            self.round_heard[source] = None
             self._count_reads()
 
     def _count_reads(self) -> None:
-        while self.reads and len([n for n in self.reads[0][2] if n in self.members.voters]) >= self.members.quorum():
-            round_, index, _ = self.reads.pop(0)
-            self.out.reads.append((self.read_of_round.pop(round_), index))
+        heard = sum(name in self.members.voters for name in self.round_heard)
+        if self.round_reads and heard >= self.members.quorum():
+            self.out.reads += [(context, self.round_index) for context in self.round_reads]
+            self.round_reads = []
+            self._begin_round()
+
+    def _lose_reads(self) -> None:
+        """This instance leads no more, or anew: nobody is answered by a round of before."""
+        self.out.reads += [(context, -1) for context in (*self.round_reads, *self.waiting_reads)]
+        self.round_reads, self.waiting_reads, self.round_heard = [], [], {}
--- /dev/null
+++ b/tests/test_read_rounds.py
@@ -0,0 +1,168 @@
+"""Read index in rounds: one round serves all reads that came before it began, and none that came later."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from raft_world import FIVE, World, draw, play
+from test_raft import elect
+
+from pebblehinge.raft import Message, Raft, Role
+from pebblehinge.raft.messages import MOST_READS
+from pebblehinge.raft.storage import first_members
+
+
+class JoinsTheRound(Raft):
+    """Broken on purpose: a read that comes while a round is out is served by it."""
+
+    def read(self, context: int) -> bool:
+        if self.role is Role.LEADER and self.round_reads:
+            self.round_reads.append(context)
+            return True
+        return super().read(context)
+
+
+def leading(kind: type[Raft] = Raft) -> Raft:
+    """A leader of five whose term has committed its first entry; nothing is left to be done."""
+    raft = kind("a", first_members(FIVE), [], 0, None, random.Random(1))
+    elect(raft)
+    raft.stored(raft.log.last)
+    for name in "bc":
+        raft.step(Message("append-answer", name, "a", raft.term, raft.log.last, ok=True))
+    assert raft.commit == raft.term_start
+    raft.ready()
+    return raft
+
+
+def answer(raft: Raft, name: str, round_: int) -> None:
+    raft.step(Message("append-answer", name, "a", raft.term, raft.log.last, ok=True, context=round_))
+
+
+def served(raft: Raft) -> list[int]:
+    return [context for context, index in raft.ready().reads if index >= 0]
+
+
+def served_late(kind: type[Raft]) -> list[int]:
+    """c has answered round 1, then voted for another leader that committed something with d and e; its answer is
+    still on its way. Read 2 comes now. What is served once c's answer has come."""
+    raft = leading(kind)
+    assert raft.read(1)
+    answer(raft, "b", raft.round)
+    assert served(raft) == []
+    assert raft.read(2)
+    answer(raft, "c", 1)
+    return served(raft)
+
+
+def test_a_read_is_served_only_by_a_round_that_began_after_it_came() -> None:
+    assert served_late(Raft) == [1]
+    assert served_late(JoinsTheRound) == [1, 2]  # what must not be: read 2 misses what the other leader committed
+
+
+def test_a_thousand_reads_take_two_rounds() -> None:
+    """Each had a round of its own before, with a heartbeat to every instance: 4,000 messages."""
+    raft = leading()
+    for context in range(1000):
+        assert raft.read(context)
+    first = raft.ready().messages
+    assert len(first) == 4 and {m.context for m in first} == {raft.round}
+    for name in "bc":
+        answer(raft, name, raft.round)
+    ready = raft.ready()
+    assert [c for c, _ in ready.reads] == [0] and len(ready.messages) == 4
+    for name in "de":
+        answer(raft, name, raft.round)
+    ready = raft.ready()
+    assert [c for c, _ in ready.reads] == list(range(1, 1000)) and ready.messages == []
+
+
+def test_answers_to_older_rounds_and_of_learners_count_for_nothing() -> None:
+    raft = leading()
+    raft.read(1)
+    old = raft.round
+    for name in "bc":
+        answer(raft, name, old)
+    assert served(raft) == [1]
+    raft.read(2)
+    for name in "bcde":
+        answer(raft, name, old)
+    raft.step(Message("append-answer", "x", "a", raft.term, raft.log.last, ok=True, context=raft.round))
+    assert served(raft) == []
+    answer(raft, "b", raft.round)
+    answer(raft, "b", raft.round)  # the same voter twice
+    assert served(raft) == []
+    answer(raft, "e", raft.round)
+    assert served(raft) == [2]
+
+
+def test_a_round_whose_messages_are_lost_is_asked_again_with_the_next_heartbeat() -> None:
+    raft = leading()
+    raft.read(1)
+    raft.ready()  # lost
+    for _ in range(raft.heartbeat):
+        raft.tick()
+    again = [m for m in raft.ready().messages if m.kind == "append"]
+    assert {m.context for m in again} == {raft.round} and len(again) == 4
+
+
+def test_reads_wait_for_the_terms_first_commit_and_are_lost_with_the_lead() -> None:
+    raft = Raft("a", first_members(FIVE), [], 0, None, random.Random(1))
+    elect(raft)
+    raft.ready()
+    assert raft.read(1) and raft.read(2)
+    assert raft.ready().messages == []
+    raft.stored(raft.log.last)
+    for name in "bc":
+        answer(raft, name, 0)
+    assert raft.round_reads == [1, 2]
+    raft.read(3)
+    raft.step(Message("append", "b", "a", raft.term + 1, raft.log.last, raft.log.last_term))
+    assert sorted(raft.ready().reads) == [(1, -1), (2, -1), (3, -1)]
+    assert not raft.read(4)
+
+
+def test_what_waits_is_bounded() -> None:
+    raft = leading()
+    assert sum(raft.read(context) for context in range(MOST_READS + 10)) == MOST_READS
+
+
+# ---- drawn runs, with a read at every tick
+
+
+def dense(seed: int) -> list[str]:
+    """The troubles of `draw`, with all clients reading or setting all the time."""
+    rng, script = random.Random(f"{seed}/dense"), []
+    for line in draw(seed):
+        verb, *words = line.split()
+        if verb != "run":
+            script.append(line)
+            continue
+        for _ in range(int(words[0])):
+            script += [f"{rng.choice(['read', 'read', 'read', 'set'])} {rng.randrange(4)} {rng.choice(FIVE)}", "run 1"]
+    return script
+
+
+@pytest.mark.parametrize("block", range(4))
+def test_dense_reads_have_an_order_under_loss_partitions_and_crashes(block: int) -> None:
+    for seed in range(10 * block, 10 * block + 10):
+        play(dense(seed), seed)
+
+
+def test_runs_notice_a_read_that_joins_the_round_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("raft_world.Raft", JoinsTheRound)
+    with pytest.raises(AssertionError, match="what had reached"):
+        for seed in range(10):
+            play(dense(seed), seed)
+
+
+def test_one_leader_serves_reads_of_every_client_in_few_rounds() -> None:
+    world = World(FIVE, 5)
+    leader = world.until(world.leader)
+    world.until(world.settled)
+    before = leader.raft.round
+    for context in range(200):
+        assert leader.raft.read(context)
+    leader.work()
+    world.until(lambda: len(leader.reads) == 200)
+    assert leader.raft.round - before == 2 and all(index >= 0 for _, index in leader.reads)
