Group: heads are told of versions alone, answered by rounds, acknowledged in one entry a tick

Each acknowledgement was a log entry that raised State.changed; each such entry made the leader send NEWS to all heads; each NEWS a RENEW, each RENEW a read round, each GRANT without a lease another RENEW after a tick for as long as there was none. Frames of a version in virtual time, 25, 50 and 100 heads: NEWS 666, 2,552 and 10,133, RENEW and GRANT as many each, where 50, 100 and 200 are needed.

agreed/renewals.py decides, without I/O or clock: one round at a time and a tick apart for all renewals that came before it began; one command a tick with all that was acknowledged (verb taken_up; acknowledge still applies in old logs); an answer waits for its acknowledgement instead of being asked for again; NEWS when active or pending changed, once a tick. What is set aside is no news, each renewal brings it. agreed/granting.py carries it out, 64 answers a turn of the loop. A leader of a new term begins with nothing of the old one, also between its election and its first look.

taken_up passes over versions that were refused meanwhile: a head that went back would get no lease until the next one.

--- a/benchmarks/version_spread.py
+++ b/benchmarks/version_spread.py
@@ -1,6 +1,7 @@
 """Frames by kind that a version costs, and the time until it is in force at the last head, by the number of heads.
 
-    python benchmarks/version_spread.py [--heads 5 25 50] [--members 5] [--versions 3] [--within 30] [--pause 0] [--sockets]
+    python benchmarks/version_spread.py [--heads 5 25 50] [--members 5] [--versions 3] [--within 30] [--pause 0]
+        [--sockets]
 
 Instances and heads are the program's own classes in one process: in virtual time, where work costs no time and counts
 are the same in every run; with `--sockets` on loopback with real folders, where times are those of this one process.
--- a/pebblehinge/agreed/server.py
+++ b/pebblehinge/agreed/server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from pebblehinge.agreed.asking import Asking
+from pebblehinge.agreed.granting import Granting
 from pebblehinge.agreed.leases import Leases
 from pebblehinge.agreed.state import State, command
 from pebblehinge.net import Peer, parse_address
@@ -21,6 +22,8 @@
 from pebblehinge.settings import Config
 from pebblehinge.wire import Kind, Session, WireError
 
+BACKLOG = 1024  # connections that wait to be accepted: all heads come back after a leader's loss
+
 
 class MemberConn(Peer):
     """A connection from another instance, a head, or an operator."""
@@ -51,7 +54,7 @@
             raise WireError(f"RAFT: {error}") from None
 
     def on_renew(self, *values: Any) -> None:
-        self.member.renewed(self, *values)
+        self.member.granting.renewed(self, *values)
 
     def on_ask(self, token: int, verb: str, values: dict[str, str | int]) -> None:
         self.member.asking.asked(self, token, verb, values)
@@ -75,9 +78,7 @@
         storage = Storage(disk)
         snapshot = storage.snapshot or first_members(list(config.member))
         rng = random.Random(f"{seed}/{name}")
-        raft = Raft(
-            name, snapshot, storage.entries, storage.term, storage.vote, rng, group.election, group.heartbeat
-        )
+        raft = Raft(name, snapshot, storage.entries, storage.term, storage.vote, rng, group.election, group.heartbeat)
         self.state = State.restore(snapshot.data)
         links = {
             other: PeerLink(loop, f"{name}@{group.id}", block.listen, limits.frame, limits.stall, limits.keepalive)
@@ -89,21 +90,19 @@
             lambda: self.state.dump(), self._read_done, self._failed,
         )  # fmt: skip
         self.conns: dict[MemberConn, None] = {}
-        self.leases: Leases | None = None
-        self.led_term = 0
         self.proposals: dict[int, tuple[int, Callable[[str], None]]] = {}  # index -> term, who waits
         self.reads: dict[int, Callable[[bool], None]] = {}
         self.contexts = itertools.count(1)
         self.on_its_way: dict[tuple[Any, ...], int] = {}  # commands of the leader itself -> index
-        self.asking = Asking(self)
-        self.failure, self.told_of = "", 0
+        self.asking, self.granting = Asking(self), Granting(self)
+        self.failure = ""
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.server: Any = None
         self.timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         host, port = parse_address(self.config.member[self.name].listen)
-        self.server = await self.loop.create_server(lambda: MemberConn(self), host, port, backlog=256)
+        self.server = await self.loop.create_server(lambda: MemberConn(self), host, port, backlog=BACKLOG)
         self.node.start()
         self._look()
 
@@ -131,13 +130,9 @@
         if waiting is not None:
             term, tell = waiting
             tell(said if term == entry.term else "another leader came: ask whether it was done")
-        if self.state.changed != self.told_of and self.node.leads:
-            self.told_of = self.state.changed
-            for conn in self.conns:
-                if conn.session.peer_role == "head":
-                    conn.send(Kind.NEWS, self.told_of)
         for key in [k for k, index in self.on_its_way.items() if index <= entry.index]:
             del self.on_its_way[key]
+        self.granting.applied(entry.index)
 
     def _restore(self, data: bytes) -> None:
         self.state = State.restore(data)
@@ -153,7 +148,7 @@
         self.node.work()
         return True
 
-    def _own(self, *parts: Any) -> None:
+    def own(self, *parts: Any) -> None:
         """A command of the leader's own, once at a time."""
         key = tuple(str(p) for p in parts)
         if key in self.on_its_way:
@@ -163,67 +158,37 @@
             self.on_its_way[key] = index
             self.node.work()
 
-    # ---- the leader's look at heads
-
     def _look(self) -> None:
-        """Every tick: is there a version that may be activated, or something to be set aside otherwise?"""
+        """Every tick."""
         if not self.node.up:
             return
         self.timer = self.loop.call_later(self.config.group.tick / 1000.0, self._look)
-        raft = self.node.raft
-        if not self.node.leads:
-            self.leases = None
+        if self.node.leads:
+            self.granting.look()
+        else:
+            self.granting.lost()
             self._lost_lead()
-            return
-        if self.leases is None or self.led_term != raft.term:
-            group = self.config.group
-            self.leases = Leases(group.lease, group.drift, group.floor, self.clock())
-            self.led_term = raft.term
-            self.on_its_way.clear()
-        if raft.applied_to >= raft.term_start:  # it knows all that was agreed before it
-            wanted = self.leases.wanted(self.clock(), self.state)
-            if wanted is not None:
-                self._own(*wanted)
 
     def _lost_lead(self) -> None:
         for _, tell in self.proposals.values():
             tell("this instance leads no more: ask whether it was done")
         self.proposals.clear()
 
-    # ---- heads
+    # ---- reads
 
-    def renewed(
-        self, conn: MemberConn, token: int, head: str, acknowledges: int, known: int, refused: int, reason: str
-    ) -> None:
-        """A head asks for its lease and tells what it has taken up."""
-        if not self.node.leads or self.leases is None:
-            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self.leader_address())
-            return
-        if refused and refused == self.state.pending:
-            self._own("refuse", refused, f"{head}: {reason}")
-        row = self.state.heads.get(head)
-        if acknowledges and (row is None or row.version < acknowledges) and self.state.text(acknowledges) is not None:
-            self._own("acknowledge", head, acknowledges)
+    @property
+    def leases(self) -> Leases | None:
+        """None where this instance does not lead."""
+        return self.granting.leases
+
+    def read(self, call: Callable[[bool], None]) -> None:
+        """Calls back when a round of the majority that begins from now on is over; False where there was none."""
         context = next(self.contexts)
-        # Only a round of the majority shows that no other leader has been reckoning without this head meanwhile.
-        self.reads[context] = lambda sound: self._grant(conn, token, head, acknowledges, known, sound)
+        self.reads[context] = call
         if not self.node.raft.read(context):
             self.reads.pop(context)(False)
         self.node.work()
 
-    def _grant(self, conn: MemberConn, token: int, head: str, acknowledges: int, known: int, sound: bool) -> None:
-        if not sound or self.leases is None:
-            conn.send(Kind.GRANT, token, 0.0, 0, "", 0, "", {}, self.leader_address())
-            return
-        state, lease = self.state, 0.0
-        if self.leases.may_grant(state, head, acknowledges):
-            self.leases.granted(self.clock(), head)
-            lease = self.config.group.lease
-        texts = [
-            (state.text(number) or "") if number and number > known else "" for number in (state.active, state.pending)
-        ]
-        conn.send(Kind.GRANT, token, lease, state.active, texts[0], state.pending, texts[1], state.aside, "")
-
     def _read_done(self, context: int, sound: bool) -> None:
         call = self.reads.pop(context, None)
         if call is not None:
@@ -238,8 +203,4 @@
 
     def after_read(self, tell: Callable[[bool, str], None], look: Callable[[], tuple[bool, str]]) -> None:
         """Answers with what is agreed now, not with what this instance believed when it led."""
-        context = next(self.contexts)
-        self.reads[context] = lambda sound: tell(*look()) if sound else tell(False, "this instance leads no more")
-        if not self.node.raft.read(context):
-            self.reads.pop(context)(False)
-        self.node.work()
+        self.read(lambda sound: tell(*look()) if sound else tell(False, "this instance leads no more"))
--- a/pebblehinge/agreed/state.py
+++ b/pebblehinge/agreed/state.py
@@ -107,7 +107,8 @@
         return ""
 
     def _acknowledge(self, head: str, version: int) -> str:
-        """A head is careful between its version and this one, or acts on it already."""
+        """A head is careful between its version and this one, or acts on it already. Alone in an entry only in logs of
+        before `taken_up`."""
         if version not in self.versions:
             return f"version {version} is not known"
         row = self.heads.get(head)
@@ -116,6 +117,14 @@
             self.changed += 1
         return ""
 
+    def _taken_up(self, versions: dict[str, int]) -> str:
+        """What many heads acknowledge, in one entry. A version that is not known any more is passed over; so is one
+        that was refused while the word was on its way: its heads have gone back."""
+        for head, version in versions.items():
+            if version in self.versions and not self.versions[version].refused:
+                self._acknowledge(head, version)
+        return ""
+
     def _refuse(self, version: int, reason: str) -> str:
         """A head can't use it: it is given up as a whole, and heads that prepared go back."""
         if version != self.pending:
