--- a/pebblehinge/agreed/ask.py
+++ b/pebblehinge/agreed/ask.py
@@ -59,7 +59,7 @@
     while loop.time() < until:
         try:
             ok, text, leader = await ask_one(loop, address, verb, values)
-            again = not ok and ("ask whether it was done" in text or "leads no more" in text)
+            again = not ok and any(said in text for said in ("ask whether it was done", "leads no more", "wait for it"))
             if not again and not (not ok and (leader or text == "no leader is known")):
                 return ok, text
             last = text
--- a/pebblehinge/agreed/asking.py
+++ b/pebblehinge/agreed/asking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import difflib
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -9,6 +10,7 @@
 import msgspec
 
 from pebblehinge.agreed.leases import Leases
+from pebblehinge.agreed.proposals import Proposals
 from pebblehinge.agreed.state import State, command
 from pebblehinge.net import Peer
 from pebblehinge.raft import Membership
@@ -23,6 +25,7 @@
 class Member(Protocol):
     """The instance that is asked."""
 
+    loop: asyncio.AbstractEventLoop
     name: str
     config: Config
     clock: Callable[[], float]
@@ -41,7 +44,7 @@
     """Answers each question once, by the leader where it is about what is agreed."""
 
     def __init__(self, member: Member) -> None:
-        self.member = member
+        self.member, self.proposals = member, Proposals(member)
 
     def asked(self, conn: Peer, token: int, verb: str, values: dict[str, str | int]) -> None:
         def tell(ok: bool, text: str) -> None:
@@ -73,10 +76,10 @@
         except SettingsError as error:
             tell(False, str(error))
             return
-        data = command("propose", int(v["base"]), text, str(v.get("author", "")), str(v.get("note", "")))
-        done = lambda said: tell(not said, said or str(self.member.state.newest))  # noqa: E731
-        if not self.member.propose(data, done, str(v.get("session", "")), int(v.get("serial", 0))):
-            tell(False, "this instance takes no proposals now")
+        self.proposals.come(
+            int(v["base"]), text, str(v.get("author", "")), str(v.get("note", "")), str(v.get("session", "")),
+            int(v.get("serial", 0)), tell,
+        )  # fmt: skip
 
     def _ask_rollback(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
         text = self.member.state.text(int(v["version"]))
--- a/pebblehinge/agreed/server.py
+++ b/pebblehinge/agreed/server.py
@@ -133,6 +133,8 @@
         for key in [k for k, index in self.on_its_way.items() if index <= entry.index]:
             del self.on_its_way[key]
         self.granting.applied(entry.index)
+        if self.node.leads:
+            self.asking.proposals.go_on()
 
     def _restore(self, data: bytes) -> None:
         self.state = State.restore(data)
@@ -173,6 +175,7 @@
         for _, tell in self.proposals.values():
             tell("this instance leads no more: ask whether it was done")
         self.proposals.clear()
+        self.asking.proposals.lost()
 
     # ---- reads
 
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,155 @@
+"""A head's way to the group, alone: how many renewals it has out, and what it makes of an answer without a version."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import LOOPBACK
+from test_agreed import document
+
+from pebblehinge.agreed.feed import LEADERLESS, Feed
+from pebblehinge.agreed.taking import Taking
+from pebblehinge.lab.village import Quiet
+from pebblehinge.lab.virtual import VirtualLoop
+from pebblehinge.settings.load import loads
+from pebblehinge.wire import Kind
+
+TEXT = document(100)
+
+
+class Wire:
+    """The instance's end."""
+
+    address = f"{LOOPBACK}:6001"
+
+    def __init__(self) -> None:
+        self.renewals: list[tuple[Any, ...]] = []
+        self.closed = False
+
+    def send(self, kind: Kind, *values: Any) -> None:
+        assert kind is Kind.RENEW and not self.closed
+        self.renewals.append(values)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Rig:
+    def __init__(self) -> None:
+        self.world = VirtualLoop(seed=1)
+        node = self.world.node("h1")
+        taking = Taking("h1", 0.2)
+        self.feed = Feed(
+            node, lambda: node.time() * 1000.0, loads(TEXT), taking, lambda *_: None, lambda _: None, Quiet()
+        )
+        self.wire = Wire()
+        self.feed.wire = self.wire  # type: ignore[assignment]
+
+    def grant(self, active: int = 0, text: str = "", lease_ms: float = 0.0, leader: str = "") -> None:
+        self.feed.granted(self.wire.renewals[-1][0], lease_ms, active, text, 0, "", {}, leader)
+
+    def in_force(self) -> None:
+        self.feed.ask()
+        self.grant(1, TEXT)
+        self.grant(1, "", 2_000.0)
+        assert self.feed.taking.config(self.feed.clock())[1] == "active"
+
+    def run(self, seconds: float) -> int:
+        """Renewals that leave in so long."""
+        before = len(self.wire.renewals)
+        self.world.run_until_complete(sleep(self.world, seconds))
+        return len(self.wire.renewals) - before
+
+
+async def sleep(world: VirtualLoop, seconds: float) -> None:
+    done = world.create_future()
+    world.call_later(seconds, done.set_result, None)
+    await done
+
+
+def test_many_news_while_a_renewal_is_out_make_one_more() -> None:
+    rig = Rig()
+    rig.in_force()
+    before = len(rig.wire.renewals)
+    for _ in range(100):
+        rig.feed.want()
+    assert len(rig.wire.renewals) == before + 1
+    rig.grant(1, "", 2_000.0)
+    assert len(rig.wire.renewals) == before + 2  # it may have left before the last of them
+    rig.grant(1, "", 2_000.0)
+    assert len(rig.wire.renewals) == before + 2
+
+
+def test_what_was_taken_up_is_told_at_once_and_only_that() -> None:
+    rig = Rig()
+    rig.feed.ask()
+    rig.grant(1, TEXT)
+    assert [r[2] for r in rig.wire.renewals] == [0, 1]
+    rig.grant(1, "", 2_000.0)
+    rig.feed.ask()
+    rig.feed.granted(
+        rig.wire.renewals[-1][0], 2_000.0, 1, "", 0, "", {"v": (1.0, 1.0)}, ""
+    )  # set aside: kept, not told
+    assert rig.feed.taking.aside and len(rig.wire.renewals) == 3
+
+
+def test_without_progress_it_asks_ever_more_seldom_and_in_one_line() -> None:
+    """Each answer without a lease began another one that asked each tick: 25 a second, times the news."""
+    rig = Rig()
+    rig.in_force()
+    rig.feed.ask()
+    for _ in range(30):
+        rig.grant(1)
+    left = []
+    for _ in range(6):
+        before = rig.world.now
+        while not rig.run(0.005):
+            assert rig.world.now - before < 0.5
+        left.append(rig.world.now - before)
+        rig.grant(1)
+    assert left[0] < 0.06 and left[-1] > 0.2, left
+
+
+def test_an_instance_that_knows_no_leader_is_left_after_some_answers() -> None:
+    rig = Rig()
+    rig.in_force()
+    rig.feed.ask()
+    for n in range(LEADERLESS):
+        assert not rig.wire.closed
+        rig.grant()
+        if n < LEADERLESS - 1:
+            assert rig.run(0.5) == 1
+    assert rig.wire.closed
+
+
+@pytest.mark.parametrize("leader, closed", [(Wire.address, False), (f"{LOOPBACK}:6002", True)])
+def test_one_that_names_another_leader_is_left_and_one_that_names_itself_is_not(leader: str, closed: bool) -> None:
+    rig = Rig()
+    rig.in_force()
+    rig.feed.ask()
+    rig.grant(leader=leader)
+    assert rig.wire.closed == closed and rig.feed.wanted == (leader if closed else "")
+    if not closed:
+        assert rig.run(0.5) == 1  # it comes back
+
+
+def test_a_head_that_is_sent_on_comes_after_a_while_of_its_own() -> None:
+    rig = Rig()
+    rig.in_force()
+    rig.feed.ask()
+    rig.grant(leader=f"{LOOPBACK}:6002")
+    rig.feed.lost(rig.wire)  # type: ignore[arg-type]
+    assert rig.feed.task is None and rig.feed.later is not None
+    assert rig.world.now < rig.feed.later.when() <= rig.world.now + 0.15  # half a beat
+
+
+def test_heads_spread_by_their_names_and_alike_in_each_run() -> None:
+    def pause(name: str) -> float:
+        node = VirtualLoop(seed=1).node(name)
+        taking = Taking(name, 0.2)
+        return Feed(node, node.time, loads(TEXT), taking, lambda *_: None, lambda _: None, Quiet()).rng.random()
+
+    drawn = [pause(f"h{n}") for n in range(1, 51)]
+    assert drawn == [pause(f"h{n}") for n in range(1, 51)] and len(set(drawn)) == 50
+    assert min(drawn) < 0.1 and max(drawn) > 0.9
