--- a/pebblehinge/plan/formulas.py
+++ b/pebblehinge/plan/formulas.py
@@ -3,7 +3,7 @@
 Each shelf is c cores before one queue. Second by second and shelf by shelf the demand's load (work over what the
 cores can do) gives the part that is answered in time: below saturation by the waiting time of M/G/c (Allen and
 Cunneen's form of Erlang C, with an exponential tail), above it by what the shelf can do at all, since the heads
-turn away the rest at once. Neighbouring seconds share their backlog through a carried rest. `docs/capacity.md`
+turn away the rest at once. Neighbouring seconds share their backlog through a carried rest. `docs/planner.md`
 says where this is off and by how much; trials confirm what stands near a boundary.
 """
 
