--- /dev/null
+++ b/benchmarks/capacity_page.py
@@ -0,0 +1,249 @@
+"""Writes the tables of docs/CAPACITY.md and its plot from benchmarks/capacity.json, and takes fragments of runs in.
+
+    python benchmarks/capacity_page.py                      # write the page's tables and the plot
+    python benchmarks/capacity_page.py --take FILE ...      # take runs in (or anew, by their id), then write
+
+A table stands between `<!-- table NAME -->` and `<!-- end -->`; nothing else of the page is touched.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+from capacity_fits import DATA, ROOT, Data, DataError, Reckoning, dumped, take  # noqa: E402
+from capacity_plot import plot  # noqa: E402
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+PLOT = ROOT / "docs" / "capacity-slopes.svg"
+MARKED = re.compile(r"(<!-- table ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+UNITS = {
+    "": 1.0, "/s": 1.0, "s": 1.0, "ms": 1e-3, "µs": 1e-6, "B": 1.0, "KB": 1e3, "MB": 1e6, "GB": 1e9, "B/s": 1.0,
+    "KB/s": 1e3, "MB/s": 1e6, "% of a core": 0.01, "cores": 1.0,
+}  # fmt: skip
+FAMILIES = (("s", "ms", "µs"), ("GB", "MB", "KB", "B"), ("MB/s", "KB/s", "B/s"))
+NOT_MEASURED = "*not measured*"
+FAR = 1.05  # a fit that is used further beyond its range than this is called extrapolated
+MOST_HEADS = 1_000_000
+
+
+def number(value: float) -> str:
+    """Three figures, four below ten thousand; thousands apart."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        digits = len(f"{abs(value):.0f}")
+        return f"{round(value, 4 - digits if digits == 4 else 3 - digits):,.0f}"
+    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.2e}"
+
+
+def quantity(value: float, unit: str) -> str:
+    """A value in base units, shown in its unit or in the one of its family that suits it best."""
+    family = next((f for f in FAMILIES if unit in f), (unit,))
+    unit = next((u for u in family if abs(value) >= UNITS[u]), family[-1])
+    if unit == "cores" and value == 1:
+        return "1 core"
+    return f"{number(value / UNITS[unit])}{' ' if unit and unit[0] not in '/%' else ''}{unit}"
+
+
+def figure(value: Any) -> str:
+    """A run's own figure, as it was told."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return str(value)
+    return f"{value:,}" if isinstance(value, int) else f"{value:,.4g}" if abs(value) < 1000 else f"{value:,.0f}"
+
+
+def rows(head: list[str], body: list[list[str]]) -> str:
+    lines = [head, ["---"] * len(head), *body]
+    return "".join("| " + " | ".join(cell.replace("|", "/") for cell in line) + " |\n" for line in lines)
+
+
+def cell(data: Data, names: dict[str, float], stated: Any, unit: str, used: list[str]) -> tuple[str, float | None]:
+    """A cell's text and value: an expression, or words that stand as they are, or nothing: not measured."""
+    if stated is None:
+        return NOT_MEASURED, None
+    if isinstance(stated, dict):
+        return stated["words"], None
+    reckoning = Reckoning(data, names)
+    value = reckoning.value(str(stated))
+    used += [u for u in reckoning.used if u not in used]
+    far = f" (x{number(reckoning.beyond)} beyond)" if reckoning.beyond > FAR else ""
+    trial = any(data.runs[data.fits[u].run]["kind"] == "trial" for u in reckoning.used)
+    return quantity(value, unit) + far + (" (trial)" if trial else ""), value
+
+
+def verdict(value: float | None, budget: float | None, words: str) -> str:
+    if words:
+        return words
+    if value is None:
+        return NOT_MEASURED
+    if budget is None:
+        return "no budget stated"
+    if value <= budget:
+        return f"*holds* ({number(value / budget * 100)}% of it)"
+    return f"*does not*: {number(value / budget)} times"
+
+
+def roles(data: Data) -> str:
+    body = []
+    for row in data.raw["roles"]:
+        used: list[str] = []
+        unit = row.get("unit", "")
+        today, _ = cell(data, data.size("today"), row.get("expr"), unit, used)
+        coming, value = cell(data, data.size("coming"), row.get("expr"), unit, used)
+        budget = Reckoning(data, data.size("coming")).value(str(row["budget"])) if "budget" in row else None
+        body.append([
+            row["role"], row["what"], today, coming, quantity(budget, unit) if budget is not None else "-",
+            row.get("mechanism", "-"), verdict(value, budget, row.get("verdict", "")), ", ".join(used) or "-",
+        ])  # fmt: skip
+    head = ["role", "what", "today", "coming size", "budget", "what carries it", "verdict", "from"]
+    return rows(head, body)
+
+
+def size(data: Data) -> str:
+    """The operators' figures; `{expression|unit}` in a cell is reckoned."""
+    names = data.size("coming")
+
+    def filled(text: str) -> str:
+        return re.sub(
+            r"\{([^|}]+)\|([^}]*)\}",
+            lambda m: quantity(Reckoning(data, names).value(m[1]), m[2]).replace(".0 ", " "),
+            text,
+        )
+
+    return rows(["what", "at that size", "comes to"], [[filled(c) for c in row] for row in data.raw["size"]])
+
+
+def zones(data: Data) -> str:
+    body = []
+    for row in data.raw["zones"]:
+        cells = [cell(data, data.size(s), row["expr"], row.get("unit", ""), [])[0] for s in ("coming", "coming_eight")]
+        body.append([row["what"], *cells])
+    return rows(["", "4 zones in all", "4 zones in each region"], body)
+
+
+def events(data: Data) -> str:
+    body, columns = [], (("messages", ""), ("bytes", "MB"), ("busiest", "cores"), ("time", "s"))
+    for row in data.raw["events"]:
+        used: list[str] = []
+        cells = [cell(data, data.size("coming"), row.get(key), unit, used)[0] for key, unit in columns]
+        cells = [c if key not in row or isinstance(row[key], dict) else f"{c}, computed"
+                 for (key, _), c in zip(columns, cells, strict=True)]  # fmt: skip
+        body.append([row["event"], *cells, row.get("note", "-"), ", ".join(used) or "-"])
+    return rows(["event", "messages", "bytes", "busiest second", "until all is well", "what happens", "from"], body)
+
+
+def passed_at(data: Data, expr: str, budget: str) -> int | None:
+    """The smallest number of heads, in the coming size's shape, at which the expression is over its budget."""
+
+    def over(heads: int) -> bool:
+        names = data.grown(heads)
+        return Reckoning(data, names).value(expr) > Reckoning(data, names).value(budget)
+
+    if not over(MOST_HEADS):
+        return None
+    low, high = 0, MOST_HEADS
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (low, middle) if over(middle) else (middle, high)
+    return high
+
+
+def missing(data: Data) -> str:
+    found = []
+    for row in data.raw["missing"]:
+        if "run" in row and row["run"] not in data.runs:
+            raise DataError(f"missing {row['what']!r}: run {row['run']!r} is not there")
+        heads = passed_at(data, row["expr"], str(row["budget"])) if "expr" in row else row["heads"]
+        source = "computed" if "expr" in row else f"run {row['run']}"
+        found.append((heads if heads is not None else MOST_HEADS + 1, row, source))
+    found.sort(key=lambda f: (f[0], f[1]["what"]))
+    body = [
+        [str(n), row["what"], f"{heads:,}" if heads <= MOST_HEADS else f"over {MOST_HEADS:,}", row["budget_said"],
+         row["mechanism"], source]
+        for n, (heads, row, source) in enumerate(found, 1)
+    ]  # fmt: skip
+    return rows(["", "what breaks", "at heads", "budget", "mechanism", "how known"], body)
+
+
+def slopes(data: Data) -> str:
+    body = []
+    for fit in data.fits.values():
+        one = fit.x.removesuffix("s")
+        (low, high), shown = fit.range, [quantity(c, fit.unit) for c in fit.coefficients]
+        per = {"constant": "-", "line": f"{shown[-1]} a {one}"}.get(fit.form, "")
+        if fit.form == "square":
+            per = f"{shown[1]} a {one} **and {shown[2]} a {one} squared**"
+        sizes = len({x for x, _ in fit.points})
+        span = f"{number(low)} to {number(high)}, {sizes} sizes" if fit.x else f"{len(fit.points)} points"
+        body.append([fit.name, fit.of, fit.what, shown[0], per, f"{number(fit.residual * 100)}%", span, fit.run])
+    return rows(["fit", "role", "of what", "fixed part", "slope", "residual", "range", "run"], body)
+
+
+def run_table(run: dict[str, Any]) -> str:
+    points = run["points"]
+    xs = list(dict.fromkeys(k for p in points for k in p["x"]))
+    ys = list(dict.fromkeys(k for p in points for k in p["y"]))
+    body = [[*(figure(p["x"].get(k, "-")) for k in xs), *(figure(p["y"].get(k, "-")) for k in ys)] for p in points]
+    return rows([*xs, *ys], body)
+
+
+def section(data: Data, *starts: str) -> str:
+    parts = []
+    for name, run in sorted(data.runs.items()):
+        if name.startswith(starts):
+            note = f" {run['note'].strip()}" if run.get("note") else ""
+            said = f"**{name}** ({run['kind']}; beside: {run.get('beside') or 'not told'}).{note}"
+            parts.append(f"{said}\n\n{run_table(run)}")
+    return "\n".join(parts) if parts else f"{NOT_MEASURED}\n"
+
+
+def runs(data: Data) -> str:
+    body = [
+        [name, f"`{run['command']}`", run["commit"][:10], run["date"], run["kind"], run.get("beside") or "not told"]
+        for name, run in sorted(data.runs.items())
+    ]
+    return rows(["run", "command", "commit", "date", "kind", "beside"], body)
+
+
+TABLES: dict[str, Callable[[Data], str]] = {
+    "size": size, "roles": roles, "zones": zones, "slopes": slopes, "events": events, "missing": missing, "runs": runs,
+    "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps"),
+    "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread"),
+    "virtual": lambda d: section(d, "virtual"),
+}  # fmt: skip
+
+
+def written(data: Data, page: str) -> str:
+    """The page with its tables from the data; each table has to stand there once."""
+    names = [m[2] for m in MARKED.finditer(page)]
+    if sorted(names) != sorted(TABLES):
+        raise DataError(f"the page has the tables {sorted(names)}: expected {sorted(TABLES)}, each once")
+    return MARKED.sub(lambda m: f"{m[1]}\n{TABLES[m[2]](data)}\n{m[3]}", page)
+
+
+def main(arguments: list[str]) -> int:
+    if arguments and arguments[0] not in ("--take",):
+        print(__doc__)
+        return 2
+    raw = json.loads(DATA.read_text())
+    for file in arguments[1:]:
+        held = json.loads(Path(file).read_text())
+        for fragment in held if isinstance(held, list) else [held]:
+            print("taken in:", take(raw, fragment))
+    data = Data(raw)
+    page, picture = written(data, PAGE.read_text()), plot(data)
+    DATA.write_text(dumped(raw))
+    PAGE.write_text(page)
+    PLOT.write_text(picture)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
