--- a/benchmarks/slopes_framed.py
+++ b/benchmarks/slopes_framed.py
@@ -145,11 +145,31 @@
         return uvloop.run(script(folder))
 
 
+def accesses(small: bool) -> list[Point]:
+    """A framed head's time on a core for an access, by shelfs that are asked in turn, over a connection to each."""
+    import head_cost
+
+    async def script(folder: str) -> list[Point]:
+        loop, found = asyncio.get_running_loop(), []
+        for number, count in enumerate((30, 300) if small else (30, 300, 600, 1000, 1500)):
+            heads = head_cost.Heads("real", count, 4096, number)
+            try:
+                told = await head_cost.full_load(loop, heads, 4096, 4 * count + 4000)
+                held = resident_kib(heads.pid)
+            finally:
+                heads.stop()
+            found.append(point({"shelfs": count}, access_ms=told["cpu_us"] / 1000.0, resident_kib=held))
+        return found
+
+    return whole(script)
+
+
 PARTS = {
     "framed-connections": (
         connections,
         "Framed head with 2,000 volumes, 1,500 shelfs listed; clients of the library, keepalive 5 s as by default. The "
         "clients' side is one process.",
     ),
+    "framed-accesses": (accesses, "Accesses of 4,096 bytes, 40 out at a time, ends of benchmarks/head_cost.py."),
     "framed-listed": (listed, "Framed head, no clients, no accesses."),
 }
--- a/benchmarks/slopes_inside.py
+++ b/benchmarks/slopes_inside.py
@@ -5,11 +5,14 @@
 import gc
 import itertools
 import random
+import tempfile
+import time
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
-from slopes import Point, least_ms, point
+import msgspec
+from slopes import ROOT, Point, least_ms, point
 
 from pebblehinge.agreed.activation import careful
 from pebblehinge.agreed.state import State, Version, command
@@ -19,6 +22,7 @@
 from pebblehinge.lab.village import Quiet
 from pebblehinge.raft import Entry
 from pebblehinge.raft.log import DATA
+from pebblehinge.raft.storage import RealDisk, Storage, first_members
 from pebblehinge.settings import Config
 from pebblehinge.settings.load import loads
 from pebblehinge.wire import Kind, Session, encode
@@ -202,6 +206,24 @@
     return found
 
 
+def disk(small: bool) -> list[Point]:
+    """An instance's snapshot stored on a real disk with fsync, in the loop: time by the clock, the median of nine."""
+    found = []
+    for kept in (25, 50) if small else (25, 50, 100, 200):
+        data, took = state_of(910, kept).dump(), []
+        with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+            storage = Storage(RealDisk(folder))
+            base = first_members(["g1", "g2", "g3"])
+            for n in range(1, 10):
+                snapshot = msgspec.structs.replace(base, index=n * 1000, term=1, data=data)
+                began = time.perf_counter()
+                storage.store(None, None, [], snapshot)
+                took.append((time.perf_counter() - began) * 1000.0)
+        found.append(point({"versions": kept, "heads": 910}, snapshot_bytes=len(data),
+                           store_ms=sorted(took)[4], worst_store_ms=max(took)))  # fmt: skip
+    return found
+
+
 PARTS = {
     "versions": (
         versions,
@@ -209,5 +231,6 @@
         "versions (both texts, both read).",
     ),
     "lists": (lists, "In this process, without sockets."),
+    "disk": (disk, "The disk is the machine's own; another one gives other figures."),
     "state": (state, f"In this process; texts with every head by name and {VOLUMES} volumes in one block. No disk."),
 }
