--- a/benchmarks/capacity_fits.py
+++ b/benchmarks/capacity_fits.py
@@ -124,7 +124,8 @@
         where, scale, points = row.get("where", {}), row.get("scale", 1), []
         for point in self.runs[row["run"]]["points"]:
             if all(point["x"].get(k) == v for k, v in where.items()) and row["y"] in point["y"]:
-                points.append((point["x"][row["x"]] if row["x"] else 0, point["y"][row["y"]] * scale))
+                both = {**point["y"], **point["x"]}  # some fits go by another figure of the run
+                points.append((both[row["x"]] if row["x"] else 0, point["y"][row["y"]] * scale))
         sizes = len({x for x, _ in points})
         if row["form"] != "constant" and sizes < max(4, FORMS[row["form"]] + 2):
             raise DataError(f"fit {name}: {sizes} sizes: four at least")
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -19,51 +19,16 @@
 
 from capacity_fits import DATA, ROOT, Data, DataError, Reckoning, dumped, take  # noqa: E402
 from capacity_plot import plot  # noqa: E402
+from capacity_text import figure, number, quantity, rows  # noqa: E402
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 PLOT = ROOT / "docs" / "capacity-slopes.svg"
 MARKED = re.compile(r"(<!-- table ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
-UNITS = {
-    "": 1.0, "/s": 1.0, "s": 1.0, "ms": 1e-3, "µs": 1e-6, "B": 1.0, "KB": 1e3, "MB": 1e6, "GB": 1e9, "B/s": 1.0,
-    "KB/s": 1e3, "MB/s": 1e6, "% of a core": 0.01, "cores": 1.0,
-}  # fmt: skip
-FAMILIES = (("s", "ms", "µs"), ("GB", "MB", "KB", "B"), ("MB/s", "KB/s", "B/s"))
 NOT_MEASURED = "*not measured*"
 FAR = 1.05  # a fit that is used further beyond its range than this is called extrapolated
 MOST_HEADS = 1_000_000
 
 
-def number(value: float) -> str:
-    """Three figures, four below ten thousand; thousands apart."""
-    if value == 0:
-        return "0"
-    if abs(value) >= 1000:
-        digits = len(f"{abs(value):.0f}")
-        return f"{round(value, 4 - digits if digits == 4 else 3 - digits):,.0f}"
-    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.2e}"
-
-
-def quantity(value: float, unit: str) -> str:
-    """A value in base units, shown in its unit or in the one of its family that suits it best."""
-    family = next((f for f in FAMILIES if unit in f), (unit,))
-    unit = next((u for u in family if abs(value) >= UNITS[u]), family[-1])
-    if unit == "cores" and value == 1:
-        return "1 core"
-    return f"{number(value / UNITS[unit])}{' ' if unit and unit[0] not in '/%' else ''}{unit}"
-
-
-def figure(value: Any) -> str:
-    """A run's own figure, as it was told."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return str(value)
-    return f"{value:,}" if isinstance(value, int) else f"{value:,.4g}" if abs(value) < 1000 else f"{value:,.0f}"
-
-
-def rows(head: list[str], body: list[list[str]]) -> str:
-    lines = [head, ["---"] * len(head), *body]
-    return "".join("| " + " | ".join(cell.replace("|", "/") for cell in line) + " |\n" for line in lines)
-
-
 def cell(data: Data, names: dict[str, float], stated: Any, unit: str, used: list[str]) -> tuple[str, float | None]:
     """A cell's text and value: an expression, or words that stand as they are, or nothing: not measured."""
     if stated is None:
@@ -155,6 +120,10 @@
     return high
 
 
+def at_heads(heads: int) -> str:
+    return "any" if heads <= 1 else f"{heads:,}" if heads <= MOST_HEADS else f"over {MOST_HEADS:,}"
+
+
 def missing(data: Data) -> str:
     found = []
     for row in data.raw["missing"]:
@@ -165,7 +134,7 @@
         found.append((heads if heads is not None else MOST_HEADS + 1, row, source))
     found.sort(key=lambda f: (f[0], f[1]["what"]))
     body = [
-        [str(n), row["what"], f"{heads:,}" if heads <= MOST_HEADS else f"over {MOST_HEADS:,}", row["budget_said"],
+        [str(n), row["what"], at_heads(heads), row["budget_said"],
          row["mechanism"], source]
         for n, (heads, row, source) in enumerate(found, 1)
     ]  # fmt: skip
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 from typing import Any
+from xml.etree import ElementTree
 
 import pytest
 
@@ -42,7 +43,14 @@
 
 
 def test_the_plot_comes_from_the_data() -> None:
-    assert PLOT.read_text() == plot(Data.load())
+    data = Data.load()
+    assert PLOT.read_text() == plot(data)
+    drawn = ElementTree.parse(PLOT).getroot()
+    circles = drawn.findall(".//{http://www.w3.org/2000/svg}circle")
+    fits = [fit for fit in data.fits.values() if fit.form != "constant"]
+    assert len(circles) == sum(len(fit.points) for fit in fits)
+    wide, high = map(float, drawn.attrib["viewBox"].split()[2:])
+    assert all(0 < float(c.attrib["cx"]) < wide and 0 < float(c.attrib["cy"]) < high for c in circles)
 
 
 def test_a_changed_digit_is_seen() -> None:
