--- /dev/null
+++ b/benchmarks/caps_shared.py
@@ -0,0 +1,146 @@
+"""Caps of what heads share: settings, the group, the wire, the node list. Used by `caps.py`."""
+
+from __future__ import annotations
+
+from caps_points import ENOUGH, LOW, NAMED, Cap, constant, default, inline
+from caps_sizes import (
+    COMING_HEADS,
+    HEADS,
+    LONGEST_NAME,
+    SHELFS,
+    VERSIONS_A_DAY,
+    VOLUMES,
+    grant_bytes,
+    list_bytes,
+    longest_line,
+    version_text,
+)
+
+from pebblehinge.settings.schema import GroupBlock, LimitsBlock
+
+LINES, LOAD, SCHEMA = (f"pebblehinge/settings/{n}.py" for n in ("lines", "load", "schema"))
+CORE, NODE, STORAGE = (f"pebblehinge/raft/{n}.py" for n in ("core", "node", "storage"))
+SERVER, STATE, ASKING, ASK, FEED, LEASES = (
+    f"pebblehinge/agreed/{n}.py" for n in ("server", "state", "asking", "ask", "feed", "leases")
+)
+LISTING = "pebblehinge/listing/server.py"
+TEXT = version_text()
+KEPT = constant("pebblehinge.agreed.state", "VERSIONS")
+
+SETTINGS_CAPS = [
+    Cap("characters of a line of settings", LINES, "LONGEST = ", constant("pebblehinge.settings.lines", "LONGEST"),
+        "characters", "a directive with its values, `through` the longest of them", longest_line(),
+        f"`through` with {HEADS} names of {LONGEST_NAME} characters", "the file or version is refused with line and "
+        "length: no volume can come through all heads by name", LOW),
+    Cap("blocks within blocks, includes within includes", LINES, "DEEPEST = ",
+        constant("pebblehinge.settings.lines", "DEEPEST"), "deep", "open blocks, files that include files", 4,
+        "a version has no includes and blocks two deep", "refused with its place", ENOUGH),
+    Cap("volumes in one `volumes` block", LOAD, "if not 1 <= count <=", inline(LOAD, r"1 <= count <= ([0-9_]+)"),
+        "volumes", "`volumes PREFIX COUNT`", VOLUMES, "the issue's volumes", "refused with its place", ENOUGH),
+    Cap("count", SCHEMA, "Count = Annotated", inline(SCHEMA, r"Count = .*le=([0-9_]+)"), "", "heads of a volume, a "
+        "fleet's heads and shelfs, most counts", SHELFS, "shelfs of a fleet block", "refused with its place", ENOUGH),
+    Cap("characters of a name", SCHEMA, "Name = Annotated", inline(SCHEMA, r"\{0,(\d+)\}\$"), "more than one",
+        "names of heads, shelfs, volumes", None, "", "refused with its place", NAMED),
+    Cap("ports of a fleet block's heads", LOAD, "PORTS = ", lambda: _ports("rsync") - _ports("head"), "heads",
+        "heads before their ports meet those for rsync", HEADS, "a laboratory's fleet", "two processes want one "
+        "address: the second does not start", ENOUGH),
+    Cap("ports of a fleet block's rsync", LOAD, "PORTS = ", lambda: _ports("shelf") - _ports("rsync"), "heads",
+        "heads with rsync before those ports meet shelfs'", HEADS, "a laboratory's fleet", "as above", ENOUGH),
+    Cap("characters of a version's text", ASKING, "def _ask_propose", lambda: 0, "0: none", "a proposal", None,
+        f"{TEXT:,} for {HEADS} heads, {SHELFS} shelfs, {VOLUMES} volumes, as `config propose` writes them (read)",
+        "no bound of its own: over a frame's size the instance cuts the connection, and the operator hears after 10 s "
+        "that no instance can be reached; one that fits ASK by a few bytes and not RAFT cuts all followers for good",
+        NAMED),
+]  # fmt: skip
+GROUP_CAPS = [
+    Cap("bytes of a frame", SCHEMA, "frame: Size = ", default(LimitsBlock, "frame"), "bytes", "every frame of every "
+        "connection; to a head a GRANT with two versions' texts", grant_bytes(TEXT), f"a GRANT with two texts of "
+        f"{TEXT:,} characters and {VOLUMES} volumes set aside", "the head cuts the connection with a line that names "
+        "the size, asks again, is cut again: it acts on its floor until one version is over", LOW,
+        "a connection's unread frame: so much at the most, held only while it is not whole"),
+    Cap("bytes of a frame to an operator", ASK, 'Session("operator"', lambda: 1 << inline(ASK, r"1 << (\d+)")(),
+        "bytes", "TOLD with a version's text, or a diff of two", 2 * TEXT, "a diff in which every line changes",
+        "the connection is cut, the operator "
+        "hears that no instance can be reached", LOW),
+    Cap("questions that wait", ASKING, "MOST_ASKED = ", constant("pebblehinge.agreed.asking", "MOST_ASKED"),
+        "questions", "proposals and reads that wait, heads' renewals among them", HEADS + 64,
+        "a renewal of each head and some "
+        "operators: all heads renew at once after NEWS", "operators are told *too much is asked at once*, exit 1, "
+        "while heads renew", LOW),
+    Cap("reads that wait", CORE, "MOST_READS = ", constant("pebblehinge.raft.core", "MOST_READS"), "reads",
+        "renewals and operators' looks that wait for their round", HEADS + 64, "as above", "the renewal is answered "
+        "without a lease and without a leader; the head closes its connection and tries another instance", LOW),
+    Cap("proposals that wait", CORE, "MOST_WAITING = ", constant("pebblehinge.raft.core", "MOST_WAITING"), "entries",
+        "entries of the log that are not committed", HEADS + 64, "an acknowledgement of each head and some operators'",
+        "refused; an acknowledgement comes again with the head's next renewal", LOW),
+    Cap("messages to one instance", NODE, "MOST_QUEUED = ", constant("pebblehinge.raft.node", "MOST_QUEUED"),
+        "messages", "what waits for an instance that does not take it", HEADS,
+        "a read round for each renewal of all heads",
+        "the oldest are dropped, unsaid; Raft sends again after a heartbeat", LOW),
+    Cap("appends under way", CORE, "INFLIGHT = ", constant("pebblehinge.raft.core", "INFLIGHT"), "messages",
+        "appends to one follower with no answer", None, "at 40 ms there and back 16 give 400 a second", "later entries "
+        "go together in the next", NAMED),
+    Cap("bytes of entries in a message", CORE, "MOST_BYTES = ", constant("pebblehinge.raft.core", "MOST_BYTES"),
+        "bytes", "entries in one append", 1024 * 128, f"acknowledgements of {HEADS} heads",
+        "the rest goes in the next; one "
+        "entry always goes", ENOUGH),
+    Cap("bytes of a snapshot's piece", CORE, "CHUNK = ", constant("pebblehinge.raft.core", "CHUNK"), "bytes",
+        "a snapshot goes piece by piece, one under way", None, "200 versions at size are "
+        f"{200 * TEXT / 1e6:.0f} MB: {200 * TEXT / 65536 * 0.04:.0f} s at 40 ms a piece (reckoned)", "an instance that "
+        "comes back across regions is behind for so long", NAMED),
+    Cap("bytes of a log's segment", STORAGE, "SEGMENT = ", constant("pebblehinge.raft.storage", "SEGMENT"), "bytes",
+        "one file of the log", None, "four versions at size", "the next file begins", NAMED),
+    Cap("bytes of a record", STORAGE, "LARGEST = ", constant("pebblehinge.raft.storage", "LARGEST"), "bytes",
+        "one entry, read back; not a snapshot", 3 << 20, "a version's text three times over", "the instance calls it "
+        "damage and does not start", ENOUGH),
+    Cap("entries before a snapshot", SCHEMA, "compact: Count = ", default(GroupBlock, "compact"), "entries",
+        "the log's length in memory and on disk", 2 * HEADS, "a version's acknowledgements, twice: fewer, and each "
+        "version brings a whole snapshot, its write and fsync in the loop", "a snapshot of all versions kept, "
+        f"{200 * TEXT / 1e6:.0f} MB at size", LOW),
+    Cap("versions kept", STATE, "VERSIONS = ", KEPT, "versions", "the history that `show`, `diff`, `rollback` reach",
+        None, f"{VERSIONS_A_DAY} a day: 200 are six hours", "the oldest that nobody acts on goes", NAMED,
+        f"{200 * TEXT / 1e6:.0f} MB of text at size in each instance, and as much in each snapshot (reckoned)"),
+    Cap("sessions kept", STATE, "SESSIONS = ", constant("pebblehinge.agreed.state", "SESSIONS"), "sessions",
+        "proposals that are known when they come again", VERSIONS_A_DAY, "a day's proposals, a session each",
+        "the one used longest ago is forgotten: a repeat of it is refused by its base", ENOUGH,
+        "about 200 bytes each, 0.2 MB"),
+    Cap("versions read by a leader", LEASES, "for old in sorted(self.configs)", inline(LEASES, r"\[:-(\d+)\]"),
+        "versions", "what heads that are behind act on", 2, "the active and the pending one; more where heads are cut "
+        "off", "an older one is read again", ENOUGH, "see the run of the settings' memory"),
+    Cap("backlog of an instance", SERVER, "backlog=", inline(SERVER, r"backlog=([0-9_]+)"), "connections",
+        "connections not yet accepted: heads after a leader's loss", HEADS + 64, "all heads at once", "the kernel "
+        "drops the rest; they try again after 1 s, then 3 s", LOW),
+    Cap("time to connect to an instance", FEED, "asyncio.timeout(", inline(FEED, r"asyncio\.timeout\(([0-9.]+)\)"), "s",
+        "a head's try at an instance", None, "one try of the kernel after a drop comes at 1 s: just too late", "the "
+        "head tries the next instance", NAMED),
+    Cap("lease", SCHEMA, "lease: Ms = ", default(GroupBlock, "lease"), "ms", "how long a head acts without word", None,
+        f"{COMING_HEADS} heads ask every half second: {2 * COMING_HEADS} renewals a second", "the floor", NAMED),
+]  # fmt: skip
+LIST_CAPS = [
+    Cap("bytes of a whole list", SCHEMA, "frame: Size = ", default(LimitsBlock, "frame"), "bytes",
+        "a LIST of all shelfs", list_bytes(), f"{SHELFS} shelfs, names of {LONGEST_NAME}, addresses of 60 characters",
+        "the head cuts the "
+        "connection to the list, comes again, is cut again", ENOUGH,
+        f"{list_bytes(1500, 10, 20):,} bytes for 1,500 shelfs; for each head that does not read yet"),
+    Cap("backlog of the list", LISTING, "backlog=", inline(LISTING, r"backlog=([0-9_]+)"), "connections",
+        "heads and shelfs after its restart", HEADS + SHELFS, "all of them within 0.2 to 0.6 s", "the kernel drops the "
+        "rest; they try again after 1 s, then 3 s", LOW),
+    Cap("open files of the list", "pebblehinge/cli/stand_ins.py", "async def _listing", lambda: 1024, "files",
+        "connections to the list: the process's own soft limit, often 1,024, is not raised", HEADS + SHELFS + 64,
+        "all heads and shelfs", "what comes then is closed at once, and comes again and again", LOW),
+    Cap("open files of a shelf", "pebblehinge/cli/stand_ins.py", "async def _shelf", lambda: 1024, "files",
+        "connections of heads: as above", HEADS + 64, "all heads", "as above", LOW),
+    Cap("open files of an instance", "pebblehinge/cli/group.py", "async def _group", lambda: 1024, "files",
+        "connections of heads, instances, operators: as above", HEADS + 64, "all heads", "as above", LOW),
+    Cap("calls to the list that wait", "pebblehinge/head/listing.py", "del self.calls[",
+        inline("pebblehinge/head/listing.py", r"self\.calls\[:-(\d+)\]"), "calls",
+        "what the module asks while no list is there", 1, "one would do", "the oldest goes", ENOUGH),
+    Cap("bytes of a greeting", "pebblehinge/wire/session.py", "GREETING_LIMIT = ",
+        constant("pebblehinge.wire.session", "GREETING_LIMIT"), "bytes", "HELLO, names of at most 200 characters", 900,
+        "200 characters of four bytes", "cut, with why", ENOUGH),
+]  # fmt: skip
+SHARED = SETTINGS_CAPS + GROUP_CAPS + LIST_CAPS
+
+
+def _ports(role: str) -> int:
+    return constant("pebblehinge.settings.load", "PORTS")()[role]
