--- /dev/null
+++ b/benchmarks/scale/hollow_heads.py
@@ -0,0 +1,149 @@
+"""About a hundred heads in one process: the program's own ways to the group and to the node list, and no clients.
+
+What they keep over a restart stays in memory, and a version's text is read once for all of them: what reading and
+keeping cost a head is seen at the real heads beside them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import random
+import sys
+from typing import Any
+
+import uvloop
+
+from pebblehinge.agreed import taking
+from pebblehinge.cli import clock_of
+from pebblehinge.head.listing import ListingLink
+from pebblehinge.interface import Entry, ListKind, Standing
+from pebblehinge.lab.quiet import Quiet
+from pebblehinge.settings import Config, load
+
+LOOK_S = 0.1
+
+
+class HollowHead:
+    """One head: what it acts on is noted by its feed, the list's shelfs are kept by name."""
+
+    def __init__(self, loop: Any, config: Config, name: str, seed: int) -> None:
+        self.loop, self.config, self.name, self.seed = loop, config, name, seed
+        self.kept = b""
+        self.ready: set[str] = set()
+        self.lives = 0
+        self.feed: Any = None
+        self.listing: ListingLink | None = None
+
+    def begin(self) -> None:
+        """Starts as a process would: on the last version that it kept, without a lease."""
+        from pebblehinge.agreed.feed import Feed
+
+        self.lives += 1
+        floor, clock = self.config.group.floor, clock_of(self.loop)
+        taken = taking.Taking.restore(self.name, floor, self.kept) if self.kept else taking.Taking(self.name, floor)
+        self.feed = Feed(self.loop, clock, self.config, taken, lambda new, mode: None, self._keep, Quiet())
+        self.listing = ListingLink(
+            self.loop, clock, self.name, self.config.listing.listen, self.config.limits,
+            random.Random(f"{self.seed}/{self.name}/{self.lives}"), self._listed, self.config.listing.mode == "ask",
+        )  # fmt: skip
+        self.feed.start()
+        self.listing.start()
+
+    def kill(self) -> None:
+        """As SIGKILL: sockets are reset, nothing is told."""
+        for link in (self.feed, self.listing):
+            if link is not None:
+                link.closed = True
+                if link.wire is not None:
+                    link.wire.abort()
+                link.close()
+        self.feed = self.listing = None
+        self.ready.clear()
+
+    def _keep(self, data: bytes) -> None:
+        self.kept = data
+
+    def _listed(self, now: float, kind: ListKind, entries: list[Entry], addresses: dict[str, str]) -> None:
+        if kind is ListKind.WHOLE:
+            self.ready.clear()
+        for entry in entries:
+            if entry.standing is Standing.READY:
+                self.ready.add(sys.intern(entry.shelf))
+            else:
+                self.ready.discard(entry.shelf)
+
+
+class HollowHeads:
+    """All of one process, and what its standard input tells it to do."""
+
+    def __init__(self, loop: Any, given: dict[str, Any], counting: Any) -> None:
+        config = load(given["file"], given["loopback"])
+        self.loop, self.counting = loop, counting
+        self.heads = {name: HollowHead(loop, config, name, given["seed"]) for name in given["names"]}
+        self.rng = random.Random(f"{given['seed']}/{given['names'][0]}")
+        self.over_s = given["over_s"]
+        self.stopped = loop.create_future()
+        self.least = -1
+
+    def begin(self) -> None:
+        for head in self.heads.values():
+            self.loop.call_later(self.rng.uniform(0.0, self.over_s), head.begin)
+        self._look()
+
+    def _look(self) -> None:
+        """How many shelfs the head knows that knows the fewest."""
+        least = min(len(head.ready) for head in self.heads.values())
+        if least != self.least:
+            self.least = least
+            self.counting.note(known=least)
+        self.loop.call_later(LOOK_S, self._look)
+
+    def told(self, line: bytes) -> None:
+        said = json.loads(line)
+        for name in said["restart"]:
+            self.heads[name].kill()
+            self.counting.note(head=name, version=0, mode="dead", part=0.0)
+            self.loop.call_later(self.rng.uniform(*said["down_s"]), self.heads[name].begin)
+
+    def stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+
+class Told(asyncio.Protocol):
+    """Lines from the run; when it is gone, so is this."""
+
+    def __init__(self, owner: Any) -> None:
+        self.owner, self.buffer = owner, b""
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.buffer = (self.buffer + data).split(b"\n")
+        for line in lines:
+            self.owner.told(line)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.owner.stop()
+
+
+async def serve(owner: Any, loop: Any) -> None:
+    """Ready, then as long as the run lives and does not say otherwise."""
+    import signal
+
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, owner.stop)
+    await loop.connect_read_pipe(lambda: Told(owner), sys.stdin)
+    print("ready", flush=True)
+    await owner.stopped
+    owner.counting.write()
+
+
+def main(given: dict[str, Any], counting: Any) -> None:
+    if hasattr(taking, "loads"):
+        taking.loads = functools.lru_cache(maxsize=8)(taking.loads)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    owner = HollowHeads(loop, given, counting)
+    owner.begin()
+    loop.run_until_complete(serve(owner, loop))
