Scale run: trips of hollow heads, the fleet's own addresses, the list's return; tests of its reckoning

Two runs at once: 'member g2: 127.0.0.1:6002: address already in use', since member blocks kept the file's host while a fleet block moved. All addresses are of the run's own loopback now. The list's loss was called over at once: heads keep the last list, so a whole one that came after it is waited for.

--- a/benchmarks/scale/events.py
+++ b/benchmarks/scale/events.py
@@ -88,6 +88,7 @@
     # ---- waiting
 
     async def until(self, what: Callable[[], Any], cap_s: float = 0.0) -> bool:
+        """Whether it came to it within the cap."""
         end = time.monotonic() + (cap_s or self.cap_s)
         while True:
             self.following.look()
@@ -112,16 +113,21 @@
 
         row |= {"median_s": at(0.5), "p99_s": at(0.99), "last_s": at(1.0)}
 
-    async def well(self, lists: bool = True, cap_s: float = 0.0) -> dict[str, Any]:
-        """Until every head acts on the newest version in full with nothing set aside, and knows every shelf."""
+    async def well(self, before: dict[str, tuple[int, int]] | None = None) -> dict[str, Any]:
+        """Until every head acts on the newest version in full with nothing set aside, and knows every shelf; by a
+        list that came whole since `before`, where that is given."""
         begin, part = time.monotonic(), self.versions.limits.get(self.number, LIMIT) / len(self.heads)
 
         def well() -> bool:
             if self.following.unwell(self.heads, self.number, part):
                 return False
-            return not lists or all(n >= self.stage.shelfs for n in self.following.known.values())
+            least = {process: wholes + 1 for process, (_, wholes) in (before or {}).items()}
+            return all(
+                known >= self.stage.shelfs and wholes >= least.get(process, 0)
+                for process, (known, wholes) in self.following.known.items()
+            )
 
-        done = await self.until(well, cap_s)
+        done = await self.until(well)
         unwell = len(self.following.unwell(self.heads, self.number, part))
         return {"well": done, "after_s": round(time.monotonic() - begin, 3), "unwell": unwell}
 
@@ -173,10 +179,11 @@
 
     async def _discovery(self) -> None:
         """The node list is killed and started again, with nothing of what it knew."""
+        before = dict(self.following.known)
         await self.stage.strike("kill", "listing")
         await asyncio.sleep(GONE_S)
         await self.stage.start_listing()
-        self.told["well"] = await self.well()
+        self.told["well"] = await self.well(before)
 
     async def _cut(self) -> None:
         """The regions lose each other for a while; a version is proposed meanwhile, then they are healed."""
--- a/benchmarks/scale/following.py
+++ b/benchmarks/scale/following.py
@@ -4,6 +4,7 @@
 
 import json
 from bisect import bisect_left
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -18,8 +19,9 @@
         self.at: dict[Path, int] = {}
         self.rows: list[dict[str, Any]] = []
         self.now: dict[str, dict[str, Any]] = {}  # the last row of each head
-        self.known: dict[str, int] = {}  # shelfs that each process's heads know at the least
+        self.known: dict[str, tuple[int, int]] = {}  # by process, at the least: shelfs known, whole lists that came
         self.came: dict[str, list[tuple[int, float]]] = {}  # versions of each head with the time, both rising
+        self.trips: Counter[str] = Counter()
 
     def look(self) -> None:
         for path in sorted(self.folder.glob("*.rows")):
@@ -33,7 +35,10 @@
 
     def _take(self, process: str, row: dict[str, Any]) -> None:
         if "known" in row:
-            self.known[process] = row["known"]
+            self.known[process] = (row["known"], row["wholes"])
+            return
+        if "trips" in row:
+            self.trips.update(row["trips"])
             return
         self.rows.append(row)
         head = row["head"]
--- a/benchmarks/scale/hollow_heads.py
+++ b/benchmarks/scale/hollow_heads.py
@@ -1,4 +1,4 @@
-"""About a hundred heads in one process: the program's own ways to the group and to the node list, and no clients.
+"""About a hundred heads in one process: the program's own ways to the group, the node list and shelfs, and no clients.
 
 What they keep over a restart stays in memory, and a version's text is read once for all of them: what reading and
 keeping cost a head is seen at the real heads beside them.
@@ -11,6 +11,7 @@
 import json
 import random
 import sys
+from collections import Counter
 from typing import Any
 
 import uvloop
@@ -21,6 +22,7 @@
 from pebblehinge.interface import Entry, ListKind, Standing
 from pebblehinge.lab.quiet import Quiet
 from pebblehinge.settings import Config, load
+from scale.hollow_links import Trips
 
 LOOK_S = 0.1
 
@@ -28,13 +30,14 @@
 class HollowHead:
     """One head: what it acts on is noted by its feed, the list's shelfs are kept by name."""
 
-    def __init__(self, loop: Any, config: Config, name: str, seed: int) -> None:
-        self.loop, self.config, self.name, self.seed = loop, config, name, seed
+    def __init__(self, loop: Any, config: Config, name: str, given: dict[str, Any]) -> None:
+        self.loop, self.config, self.name, self.given, self.seed = loop, config, name, given, given["seed"]
         self.kept = b""
         self.ready: set[str] = set()
-        self.lives = 0
+        self.lives = self.wholes = 0
         self.feed: Any = None
         self.listing: ListingLink | None = None
+        self.trips: Trips | None = None
 
     def begin(self) -> None:
         """Starts as a process would: on the last version that it kept, without a lease."""
@@ -44,10 +47,13 @@
         floor, clock = self.config.group.floor, clock_of(self.loop)
         taken = taking.Taking.restore(self.name, floor, self.kept) if self.kept else taking.Taking(self.name, floor)
         self.feed = Feed(self.loop, clock, self.config, taken, lambda new, mode: None, self._keep, Quiet())
+        rng = random.Random(f"{self.seed}/{self.name}/{self.lives}")
         self.listing = ListingLink(
-            self.loop, clock, self.name, self.config.listing.listen, self.config.limits,
-            random.Random(f"{self.seed}/{self.name}/{self.lives}"), self._listed, self.config.listing.mode == "ask",
+            self.loop, clock, self.name, self.config.listing.listen, self.config.limits, rng, self._listed,
+            self.config.listing.mode == "ask",
         )  # fmt: skip
+        spread, rate = self.given["spread"], self.given["trips"]
+        self.trips = Trips(self.loop, clock, self.name, self.config.limits, rng, spread, rate)
         self.feed.start()
         self.listing.start()
 
@@ -59,7 +65,9 @@
                 if link.wire is not None:
                     link.wire.abort()
                 link.close()
-        self.feed = self.listing = None
+        if self.trips is not None:
+            self.trips.close()
+        self.feed = self.listing = self.trips = None
         self.ready.clear()
 
     def _keep(self, data: bytes) -> None:
@@ -68,11 +76,14 @@
     def _listed(self, now: float, kind: ListKind, entries: list[Entry], addresses: dict[str, str]) -> None:
         if kind is ListKind.WHOLE:
             self.ready.clear()
+            self.wholes += 1
         for entry in entries:
             if entry.standing is Standing.READY:
                 self.ready.add(sys.intern(entry.shelf))
             else:
                 self.ready.discard(entry.shelf)
+        if self.trips is not None:
+            self.trips.listed(addresses)
 
 
 class HollowHeads:
@@ -81,11 +92,11 @@
     def __init__(self, loop: Any, given: dict[str, Any], counting: Any) -> None:
         config = load(given["file"], given["loopback"])
         self.loop, self.counting = loop, counting
-        self.heads = {name: HollowHead(loop, config, name, given["seed"]) for name in given["names"]}
+        self.heads = {name: HollowHead(loop, config, name, given) for name in given["names"]}
         self.rng = random.Random(f"{given['seed']}/{given['names'][0]}")
         self.over_s = given["over_s"]
         self.stopped = loop.create_future()
-        self.least = -1
+        self.least = (-1, -1)
 
     def begin(self) -> None:
         for head in self.heads.values():
@@ -93,11 +104,12 @@
         self._look()
 
     def _look(self) -> None:
-        """How many shelfs the head knows that knows the fewest."""
-        least = min(len(head.ready) for head in self.heads.values())
+        """How many shelfs the head knows that knows the fewest, and how often the list has come whole to each."""
+        heads = self.heads.values()
+        least = (min(len(head.ready) for head in heads), min(head.wholes for head in heads))
         if least != self.least:
             self.least = least
-            self.counting.note(known=least)
+            self.counting.note(known=least[0], wholes=least[1])
         self.loop.call_later(LOOK_S, self._look)
 
     def told(self, line: bytes) -> None:
@@ -107,6 +119,14 @@
             self.counting.note(head=name, version=0, mode="dead", part=0.0)
             self.loop.call_later(self.rng.uniform(*said["down_s"]), self.heads[name].begin)
 
+    def end(self) -> None:
+        """What came of the trips, at the end."""
+        ends: Counter[str] = Counter()
+        for head in self.heads.values():
+            if head.trips is not None:
+                ends.update(head.trips.ends)
+        self.counting.note(trips=dict(ends))
+
     def stop(self) -> None:
         if not self.stopped.done():
             self.stopped.set_result(None)
@@ -136,6 +156,7 @@
     await loop.connect_read_pipe(lambda: Told(owner), sys.stdin)
     print("ready", flush=True)
     await owner.stopped
+    owner.end()
     owner.counting.write()
 
 
--- a/benchmarks/scale/hollow_shelfs.py
+++ b/benchmarks/scale/hollow_shelfs.py
@@ -42,6 +42,9 @@
     def told(self, line: bytes) -> None:
         pass  # nothing is done to hollow shelfs
 
+    def end(self) -> None:
+        pass
+
     def stop(self) -> None:
         if not self.stopped.done():
             self.stopped.set_result(None)
--- a/benchmarks/scale/settings.py
+++ b/benchmarks/scale/settings.py
@@ -26,8 +26,8 @@
     return [f"x{n}" for n in range(1, heads - REAL_HEADS + 1)]
 
 
-def scale_text(heads: int, members: int, length_s: float, rate: float) -> str:
-    """One file for all processes. `heads` counts real and hollow ones."""
+def scale_text(heads: int, members: int, length_s: float, rate: float, loopback: str = "127.0.0.1") -> str:
+    """One file for all processes. `heads` counts real and hollow ones; addresses are of the run's own loopback."""
     text = text_of(REAL_HEADS, REAL_SHELFS, members, length_s, rate)
     for plan, through in THROUGH.items():
         text = re.sub(rf"(volumes {plan} \d+ \{{\n)", rf"\1    through {through}\n", text)
@@ -36,9 +36,10 @@
     text += f"plan everywhere {{\n rate 0.000001/s\n limit {LIMIT:g}/s\n burst {LIMIT:g}\n slack 0\n}}\n"
     # No `through`: a line of settings holds 4,096 characters.
     text += f"volumes everywhere 1 {{\n plan everywhere\n heads {heads}\n}}\n"
-    return text + "".join(
+    text += "".join(
         f"head {name} {{\n listen 127.0.0.1:{20000 + n}\n}}\n" for n, name in enumerate(hollow_names(heads))
     )
+    return text.replace("127.0.0.1:", f"{loopback}:")
 
 
 class Versions:
--- a/benchmarks/scale/stage.py
+++ b/benchmarks/scale/stage.py
@@ -45,7 +45,7 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, config: Config, path: Path, seed: int, folder: Path, loopback: str,
         said: Callable[[str], None], heads: int, shelfs: int, events: Callable[[ScaleStage], Any], regions: bool,
-        counting: bool,
+        counting: bool, spread: int = 0, trips: float = 0.0,
     ) -> None:  # fmt: skip
         super().__init__(loop, config, path, "struck", seed, folder, loopback, said, [])
         self.heads, self.shelfs, self.events = heads, shelfs, events
@@ -54,7 +54,7 @@
         self.struck.close()
         self.struck = CountedGround(self, loop, names_of(config), seed, folder / "copies")
         self.struck.regions, self.struck.counting, self.struck.figures = regions, counting, self.figures
-        self.regions = regions
+        self.regions, self.spread, self.trips = regions, spread, trips
         self.holds: dict[str, list[str]] = {}  # hollow heads by process
 
     # ---- the fleet
@@ -88,6 +88,7 @@
         for n in range(count):
             self.holds[f"heads{n + 1}"] = names[n::count]
             given = {**self._given(), "names": names[n::count], "over_s": max(1.0, self.heads / 200.0)}
+            given |= {"spread": self.spread, "trips": self.trips}
             starting.append(self._spawn_hollow(f"heads{n + 1}", "hollow-heads", given))
         await asyncio.gather(*starting)
 
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -45,6 +45,8 @@
     parser.add_argument("--length", type=float, default=20.0, help="seconds of load on the real heads")
     parser.add_argument("--rate", type=float, default=60.0, help="runs of accesses a second on the real heads")
     parser.add_argument("--cap", type=float, default=30.0, help="seconds that a version or return is waited for")
+    parser.add_argument("--spread", type=int, default=0, help="hollow shelfs that each hollow head has links to")
+    parser.add_argument("--trips", type=float, default=0.0, help="trips a second of each hollow head to those")
     parser.add_argument("--no-counting", action="store_true", help="no frames are counted: what counting costs")
     parser.add_argument("--keep", type=Path, help="a new folder for settings, records and figures of the run")
     parser.add_argument("--json", action="store_true")
@@ -72,6 +74,7 @@
 def told_of(given: argparse.Namespace, folder: Path, stage: ScaleStage, known: dict[str, Any]) -> dict[str, Any]:
     """The object that `--json` prints."""
     events: Events = stage.events  # type: ignore[assignment]
+    events.following.look()
     lines = {path.stem: report.Line(path) for path in sorted(stage.figures.glob("*.samples"))}
     windows = {n: report.window(lines, *w, given.heads) for n, w in events.told.pop("windows").items()}
     report.versions(lines, events.told["versions"], windows["rest"], given.heads)
@@ -85,7 +88,7 @@
         "most_processes": known["most_processes"], "load_late_ms": round(known["late_ms"], 1),
         "faults": known["faults"],
         "relay_late_ms": known.get("script", {}).get("relay_late_ms"), **events.told,
-        "parts_summed": summed(events.following.rows, events.versions.limits),
+        "trips": dict(events.following.trips), "parts_summed": summed(events.following.rows, events.versions.limits),
         "real": {k: day[k] for k in ("service", "worst_second", "latency_ms", "answers", "accesses")},
         "rules_kept": kept(day), "rules": {r: v for r, v in day["rules"].items() if not v["kept"]},
         "windows": windows,
@@ -101,7 +104,7 @@
 
 def run(given: argparse.Namespace, folder: Path) -> dict[str, Any]:
     loopback = own_loopback()
-    text = scale_text(given.heads, given.members, given.length, given.rate)
+    text = scale_text(given.heads, given.members, given.length, given.rate, loopback)
     path = folder / "settings.conf"
     path.write_text(text)
     began = time.monotonic()
@@ -112,6 +115,7 @@
             asyncio.get_running_loop(), loads(text, loopback=loopback), path, given.seed, folder / "records", loopback,
             said, given.heads, given.shelfs, Events(given.event, given.seed, given.cap),
             given.regions or given.event == "cut", not given.no_counting,
+            given.spread, given.trips,
         )  # fmt: skip
         known = await play(stage)
         return told_of(given, folder / "records", stage, known)
