--- a/benchmarks/capacity_text.py
+++ b/benchmarks/capacity_text.py
@@ -32,6 +32,8 @@
 
 def figure(value: Any) -> str:
     """A run's own figure, as it was told."""
+    if value is None or value == "":
+        return "-"
     if isinstance(value, bool) or not isinstance(value, int | float):
         return str(value)
     return f"{value:,}" if isinstance(value, int) else f"{value:,.4g}" if abs(value) < 1000 else f"{value:,.0f}"
