--- a/benchmarks/scale/events.py
+++ b/benchmarks/scale/events.py
@@ -20,8 +20,8 @@
 class Events:
     """Called with the stage once the fleet is up. `cap_s`: no version and no return is waited for any longer."""
 
-    def __init__(self, event: str, seed: int, cap_s: float) -> None:
-        self.event, self.seed, self.cap_s = event, seed, cap_s
+    def __init__(self, event: str, seed: int, cap_s: float, short: str = "") -> None:
+        self.event, self.seed, self.cap_s, self.short = event, seed, cap_s, short
         self.number = 0
         self.told: dict[str, Any] = {"versions": [], "windows": {}}
         self.leader = ""
@@ -30,7 +30,7 @@
         self.stage, self.loop = stage, stage.loop
         self.members = [block.listen for block in stage.config.member.values()]
         self.heads = list(stage.config.head)
-        self.versions = Versions(stage.config, self.seed)
+        self.versions = Versions(stage.config, self.seed, self.short)
         self.following = Following(stage.figures)
         began = time.monotonic()
         first = await self.propose()
--- a/benchmarks/scale/settings.py
+++ b/benchmarks/scale/settings.py
@@ -39,19 +39,29 @@
     text += "".join(
         f"head {name} {{\n listen 127.0.0.1:{20000 + n}\n}}\n" for n, name in enumerate(hollow_names(heads))
     )
+    text = text.replace("\nfleet {\n", f"\nfleet {{\n    loopback {loopback}\n")
     return text.replace("127.0.0.1:", f"{loopback}:")
 
 
 class Versions:
     """Versions to propose: the same settings with other limits, never above those of the file, which the rules of
-    the day are judged by."""
+    the day are judged by. Their text is as `config propose` sends it, with every default spelled out, or, with the
+    file's own text as `short`, as an operator writes it."""
 
-    def __init__(self, config: Config, seed: int) -> None:
-        self.config, self.rng = config, random.Random(f"{seed}/versions")
+    def __init__(self, config: Config, seed: int, short: str = "") -> None:
+        self.config, self.rng, self.short = config, random.Random(f"{seed}/versions"), short
         self.limits: dict[int, float] = {}  # of the shared volume, by version
 
     def text(self, number: int) -> str:
         limit = self.limits[number] = round(LIMIT * self.rng.uniform(0.5, 1.0), 3)
+        if self.short:
+            basic = f"limit {round(self.config.plan['basico'].limit * self.rng.uniform(0.8, 1.0), 3):g}/s"
+            text = re.sub(
+                r"(plan everywhere \{[^}]*?)limit [^ ]+\n burst [^ ]+\n",
+                rf"\g<1>limit {limit:.12g}/s\n burst {limit:.12g}\n",
+                self.short,
+            )
+            return re.sub(r"(plan basico \{[^}]*?)limit \S+", rf"\g<1>{basic}", text)
         plans = dict(self.config.plan)
         plans["everywhere"] = msgspec.structs.replace(plans["everywhere"], limit=limit, burst=limit)
         basico = self.config.plan["basico"]
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -47,6 +47,10 @@
     parser.add_argument("--cap", type=float, default=30.0, help="seconds that a version or return is waited for")
     parser.add_argument("--spread", type=int, default=0, help="hollow shelfs that each hollow head has links to")
     parser.add_argument("--trips", type=float, default=0.0, help="trips a second of each hollow head to those")
+    parser.add_argument(
+        "--text", choices=("flat", "short"), default="flat",
+        help="of versions: as `config propose` sends it, every default spelled out, or as the file has it",
+    )  # fmt: skip
     parser.add_argument("--no-counting", action="store_true", help="no frames are counted: what counting costs")
     parser.add_argument("--keep", type=Path, help="a new folder for settings, records and figures of the run")
     parser.add_argument("--json", action="store_true")
@@ -83,7 +87,8 @@
     day = summary(Day.read(folder, stage.config), "struck", given.seed, {"faults": known["faults"]})
     return {
         "heads": given.heads, "shelfs": given.shelfs, "members": given.members, "seed": given.seed,
-        "event": given.event, "regions": given.regions, "counted": not given.no_counting, "cap_s": given.cap,
+        "event": given.event, "regions": given.regions, "counted": not given.no_counting, "text": given.text,
+        "cap_s": given.cap,
         "program": pebblehinge.__version__, "commit": commit(), "most_mb": known["most_mb"],
         "most_processes": known["most_processes"], "load_late_ms": round(known["late_ms"], 1),
         "faults": known["faults"],
@@ -110,12 +115,13 @@
     began = time.monotonic()
     said = (lambda line: None) if given.json else (lambda line: print(line, file=sys.stderr, flush=True))
 
+    events = Events(given.event, given.seed, given.cap, text if given.text == "short" else "")
+
     async def whole() -> dict[str, Any]:
         stage = ScaleStage(
             asyncio.get_running_loop(), loads(text, loopback=loopback), path, given.seed, folder / "records", loopback,
-            said, given.heads, given.shelfs, Events(given.event, given.seed, given.cap),
-            given.regions or given.event == "cut", not given.no_counting,
-            given.spread, given.trips,
+            said, given.heads, given.shelfs, events,
+            given.regions or given.event == "cut", not given.no_counting, given.spread, given.trips,
         )  # fmt: skip
         known = await play(stage)
         return told_of(given, folder / "records", stage, known)
--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -39,11 +39,12 @@
 
 
 def test_settings_of_910_heads_can_be_read_and_versions_never_exceed_the_file() -> None:
-    config = loads(scale_text(910, 5, 20.0, 60.0))
+    text = scale_text(910, 5, 20.0, 60.0)
+    config = loads(text)
     assert len(config.head) == 910 and len(config.member) == 5 and config.volume[SHARED].heads == 910
-    versions = Versions(config, 1)
-    for number in (1, 2):
+    for number, versions in ((1, Versions(config, 1)), (2, Versions(config, 1, text))):
         read = loads(versions.text(number))
+        assert read.plan["everywhere"].limit == versions.limits[number] < config.plan["everywhere"].limit
         assert all(read.plan[n].limit <= p.limit for n, p in config.plan.items())
         part = parts_of(read, hollow_names(910)[0])
         assert part[SHARED][0] == pytest.approx(versions.limits[number] / 910)
