--- a/benchmarks/scale/events.py
+++ b/benchmarks/scale/events.py
@@ -14,7 +14,7 @@
 from scale.settings import LIMIT, Versions
 
 REST_S, BETWEEN_S, LOOK_S = 6.0, 2.0, 0.05
-CUT_S, GONE_S, DOWN_S = 15.0, 3.0, (1.0, 3.0)
+CUT_S, GONE_S, DOWN_S, ZONE_S = 15.0, 3.0, (1.0, 3.0), 12.0
 
 
 class Events:
@@ -167,16 +167,44 @@
 
     async def _restart(self) -> None:
         """A tenth of the hollow heads dies at once and comes back within seconds; a version is proposed meanwhile."""
-        struck = []
-        for process, names in self.stage.holds.items():
-            some = names[::10]
-            struck += some
-            self.stage.tell(process, restart=some, down_s=DOWN_S)
-        self.told["struck"] = len(struck)
+        self._kill_hollow(10, DOWN_S)
+        row = await self.propose()
+        await self.in_force(row)
+        self.told["well"] = await self.well()
+
+    async def _zone(self) -> None:
+        """A quarter of the hollow heads dies at once, for several leases, and comes back at once; a version is
+        proposed while they are gone and another one as they return."""
+        begin, struck = time.monotonic(), set(self._kill_hollow(4, (ZONE_S, ZONE_S)))
+        row = await self.propose()
+        await self.in_force(row, [h for h in self.heads if h not in struck])
+        await asyncio.sleep(max(0.0, begin + ZONE_S - time.monotonic()))
         row = await self.propose()
         await self.in_force(row)
         self.told["well"] = await self.well()
 
+    async def _freeze(self) -> None:
+        """The first process of hollow heads stands for several leases; a version is proposed meanwhile."""
+        process = next(iter(self.stage.holds))
+        begin, struck = time.monotonic(), set(self.stage.holds[process])
+        self.stage.freeze_one(process)
+        try:
+            row = await self.propose()
+            await self.in_force(row, [h for h in self.heads if h not in struck])
+            await asyncio.sleep(max(0.0, begin + ZONE_S - time.monotonic()))
+        finally:
+            self.stage.thaw_one(process)
+        self.told["well"] = await self.well()
+
+    def _kill_hollow(self, every: int, down_s: tuple[float, float]) -> list[str]:
+        """One in so many of each process's heads; their names."""
+        struck = []
+        for process, names in self.stage.holds.items():
+            struck += names[::every]
+            self.stage.tell(process, restart=names[::every], down_s=down_s)
+        self.told["struck"] = len(struck)
+        return struck
+
     async def _discovery(self) -> None:
         """The node list is killed and started again, with nothing of what it knew."""
         before = dict(self.following.known)
@@ -202,4 +230,4 @@
         return next((p for p, names in self.stage.holds.items() if head in names), head)
 
 
-EVENTS = tuple(name[1:] for name in vars(Events) if name.startswith("_") and name[1:].isalpha() and name != "_process")
+EVENTS = ("none", "version", "burst", "leader", "restart", "zone", "freeze", "discovery", "cut")
