Settings: schema.py is split into units, stand-ins, rsync and the rest; nothing else changes

The types of values and the base of blocks stand in units.py, blocks of the laboratory in stand_ins.py, of rsync clients in rsync.py.

--- a/benchmarks/caps_roles.py
+++ b/benchmarks/caps_roles.py
@@ -49,7 +49,8 @@
     Cap("patience with a new link", SCHEMA, "connect: Ms = ", default(LimitsBlock, "connect"), "ms", "connection and "
         "greeting at a shelf", None, "the same at any size, but all heads come to a restarted shelf at once", "the "
         "trip is not reached", NAMED),
-    Cap("rsync transfers", SCHEMA, "transfers: Count = ", default(RsyncBlock, "transfers"), "transfers", "under way at "
+    Cap("rsync transfers", "pebblehinge/settings/rsync.py", "transfers: Count = ", default(RsyncBlock, "transfers"),
+        "transfers", "under way at "
         "one head", None, "not told for the coming size", "turned away at the door", NAMED),
     Cap("backlog for rsync", DOOR, "backlog=", inline(DOOR, r"backlog=([0-9_]+)"), "connections", "not yet accepted",
         HEADS, "no fewer than heads", "dropped, tried again by the client", ENOUGH),
--- a/benchmarks/caps_shared.py
+++ b/benchmarks/caps_shared.py
@@ -18,7 +18,7 @@
 
 from pebblehinge.settings.schema import GroupBlock, LimitsBlock
 
-LINES, LOAD, SCHEMA = (f"pebblehinge/settings/{n}.py" for n in ("lines", "load", "schema"))
+LINES, LOAD, SCHEMA, UNITS = (f"pebblehinge/settings/{n}.py" for n in ("lines", "load", "schema", "units"))
 CORE, NODE, STORAGE = (f"pebblehinge/raft/{n}.py" for n in ("core", "node", "storage"))
 SERVER, STATE, ASKING, ASK, FEED, LEASES = (
     f"pebblehinge/agreed/{n}.py" for n in ("server", "state", "asking", "ask", "feed", "leases")
@@ -37,9 +37,9 @@
         "a version has no includes and blocks two deep", "refused with its place", ENOUGH),
     Cap("volumes in one `volumes` block", LOAD, "if not 1 <= count <=", inline(LOAD, r"1 <= count <= ([0-9_]+)"),
         "volumes", "`volumes PREFIX COUNT`", VOLUMES, "the issue's volumes", "refused with its place", ENOUGH),
-    Cap("count", SCHEMA, "Count = Annotated", inline(SCHEMA, r"Count = .*le=([0-9_]+)"), "", "heads of a volume, a "
+    Cap("count", UNITS, "Count = Annotated", inline(UNITS, r"Count = .*le=([0-9_]+)"), "", "heads of a volume, a "
         "fleet's heads and shelfs, most counts", SHELFS, "shelfs of a fleet block", "refused with its place", ENOUGH),
-    Cap("characters of a name", SCHEMA, "Name = Annotated", inline(SCHEMA, r"\{0,(\d+)\}\$"), "more than one",
+    Cap("characters of a name", UNITS, "Name = Annotated", inline(UNITS, r"\{0,(\d+)\}\$"), "more than one",
         "names of heads, shelfs, volumes", None, "", "refused with its place", NAMED),
     Cap("ports of a fleet block's heads", LOAD, "PORTS = ", lambda: _ports("rsync") - _ports("head"), "heads",
         "heads before their ports meet those for rsync", HEADS, "a laboratory's fleet", "two processes want one "
--- a/pebblehinge/settings/schema.py
+++ b/pebblehinge/settings/schema.py
@@ -6,29 +6,39 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Literal
 
-from msgspec import Meta, Struct, field
+from msgspec import field
 
 from pebblehinge.interface import Group, Plan, Profile, Repeat, Settings
-
-Ms = Annotated[float, Meta(ge=0, le=1e9, extra={"unit": "ms"})]
-Size = Annotated[int, Meta(ge=0, le=2**40, extra={"unit": "size"})]
-Times = Annotated[float, Meta(ge=0, le=1e6, extra={"unit": "x"})]
-Part = Annotated[float, Meta(ge=0, le=1, extra={"unit": "%"})]
-Rate = Annotated[float, Meta(ge=0, le=1e9, extra={"unit": "/s"})]
-Units = Annotated[float, Meta(ge=0, le=1e9)]
-Count = Annotated[int, Meta(ge=1, le=1_000_000)]
-Whole = Annotated[int, Meta(ge=0, le=2**53)]
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$", extra={"wants": "a name"})]
-Address = Annotated[str, Meta(pattern=r"^[^\s:]+:\d{1,5}$", extra={"wants": "host:port"})]
-Path = Annotated[str, Meta(min_length=1)]
-MsRange = Annotated[tuple[float, float], Meta(extra={"unit": "ms"})]
-TimesRange = Annotated[tuple[float, float], Meta(extra={"unit": "x"})]
-
-
-class Block(Struct, kw_only=True, forbid_unknown_fields=True):
-    """The base of all blocks."""
+from pebblehinge.settings.rsync import ModuleBlock, RsyncBlock, UserBlock
+from pebblehinge.settings.stand_ins import (
+    CopiesBlock,
+    DayBlock,
+    FleetBlock,
+    KindBlock,
+    LoadBlock,
+    MixBlock,
+    ShelfBlock,
+)
+from pebblehinge.settings.stand_ins import (
+    Trouble as Trouble,
+)
+from pebblehinge.settings.units import (
+    Address,
+    Block,
+    Count,
+    Ms,
+    MsRange,
+    Name,
+    Part,
+    Path,
+    Rate,
+    Size,
+    Times,
+    Units,
+    Whole,
+)
 
 
 class ProfileBlock(Block):
@@ -172,157 +182,6 @@
     stop: Ms = 10_000.0  # a head that stops tries so long to bring all to their shelfs
 
 
-class RsyncBlock(Block):
-    """rsync { ... }: what rsync clients get of each head together."""
-
-    transfers: Count = 200  # under way together
-    accesses: Count = 48  # of all transfers, out together at most
-    each: Count = 12  # of one transfer
-    stall: Ms = 60_000.0  # a client that neither sends nor reads for so long is cut
-    login: Ms = 10_000.0  # until a client has named its module
-    stop: Ms = 20_000.0  # transfers get so long to end when the head is told to stop
-    lag: Ms = 250.0  # a head that is late by so much begins no transfer
-    parts: Count = 1_000  # interrupted pushes that are kept for their repeat
-    parts_for: Ms = 900_000.0
-    motd: str = ""
-
-
-class ModuleBlock(Block):
-    """module NAME { ... }: a tree of files on a volume, for rsync clients."""
-
-    volume: Name
-    read: Name  # profiles of its accesses
-    write: Name
-    commit: Name
-    comment: str = ""
-    read_only: bool = True
-    listed: bool = True
-    allow: list[str] = field(default_factory=list)  # addresses and networks; none: all
-    deny: list[str] = field(default_factory=list)
-    users: list[Name] = field(default_factory=list)  # none: nobody is asked who he is
-    patience: Ms = 4_000.0  # of one access
-    deadline: Ms = 600_000.0  # of one transfer
-    block: Size = 128 << 10
-    unit: Size = 64 << 10  # bytes that count as a unit of an access
-    ahead: Size = 1 << 20  # bytes of a file that are read ahead or not yet written
-    max_size: Size = 1 << 34
-    max_files: Count = 100_000
-    max_list: Size = 64 << 20  # memory of one transfer's list of files, about 100 bytes and its name each
-    max_delete: Whole = 1_000
-
-
-class UserBlock(Block):
-    """user NAME { ... }: one who may log in to modules."""
-
-    secret: str = ""
-    secret_file: Path | None = None
-
-
-class KindBlock(Block):
-    """kind NAME { ... }: a kind of stand-in shelf."""
-
-    cores: Count = 2
-    speed: TimesRange = (1.0, 1.0)
-    unit_work: Ms = 20.0  # work of one unit at speed 1
-    noise: Part = 0.2
-    slots: Count = 3  # accesses in work for each core
-    queue: Count = 40  # waiting for each core
-    cold_from: Part = 0.35
-    cold: Ms = 8_000.0
-    remembers: Whole = 2
-    seek: Part = 0.55  # work saved on a remembered extent
-    defer: Part = 0.35  # of a write's work, put off
-    flush: Ms = 2_500.0
-    pause: Ms = 0.0
-    pause_every: Ms = 5_000.0
-    thrash: Part = 0.2
-    errors: Part = 0.0
-
-
-class ShelfBlock(Block):
-    """shelf NAME { ... }: one stand-in shelf."""
-
-    listen: Address = "127.0.0.1:7200"
-    slot: Whole = 0
-    rack: Name = "r1"
-    zone: Name = "z1"
-    kind: Name = "plain"
-
-
-class FleetBlock(Block):
-    """heads COUNT and shelfs COUNT in one: fleet { ... } numbers them and gives them addresses."""
-
-    heads: Count = 3
-    shelfs: Count = 8
-    kinds: list[Name] = field(default_factory=list)  # dealt out in turn
-    racks: list[Name] = field(default_factory=lambda: ["r1"])
-    zones: list[Name] = field(default_factory=lambda: ["z1"])
-    loopback: str = "127.0.0.1"
-    rsync: bool = False  # whether the heads listen to rsync clients
-
-
-class MixBlock(Block):
-    """mix PROFILE { ... }: how the load uses a profile."""
-
-    share: Part
-    write: bool = False
-    units: TimesRange = (1.0, 4.0)
-    run: TimesRange = (1.0, 3.0)  # accesses in a row on one extent
-    gap: MsRange = (1.0, 8.0)  # thinktime between them
-    bytes: Size = 1024
-
-
-class LoadBlock(Block):
-    """load { ... }: open-loop clients."""
-
-    rate: Rate = 100.0
-    processes: Count = 2
-    retries: Whole = 1
-    backoff: Ms = 100.0
-    honours: Part = 0.8  # share of clients that keep away for as long as they are told
-    surge: TimesRange = (4.0, 10.0)  # of a volume's rate
-    surge_every: Ms = 10_000.0  # in the mean, over all volumes; 0: none
-    surge_for: MsRange = (2_000.0, 5_000.0)
-    extents: Count = 200  # for each volume
-    impatient: Part = 0.0
-    ramp: Times = 1.0  # rate at the day's end against its beginning
-
-
-class CopiesBlock(Block):
-    """copies { ... }: members who copy folders with rsync-speaking tools, in the laboratory."""
-
-    module: Name
-    rate: Annotated[float, Meta(gt=0, le=1e6, extra={"unit": "/s"})] = 5.0  # transfers begun
-    members: Count = 20  # each with a folder of its own, one transfer at a time
-    files: TimesRange = (1.0, 4.0)  # altered between two pushes
-    size: Annotated[tuple[float, float], Meta(extra={"unit": "size"})] = (200.0, 65536.0)
-    push: Part = 0.6
-    cuts: Part = 0.1  # share of tries whose connection is cut at some byte
-    tries: Count = 5
-    again: Ms = 800.0
-    patience: Ms = 30_000.0
-
-
-class Trouble(Struct, kw_only=True):
-    """at TIME NAME [TARGET ...] [by FIGURE] [every TIME] [for TIME]"""
-
-    at: float
-    name: str
-    target: list[str]
-    by: float | None = None
-    every: float | None = None
-    last: float | None = None
-
-
-class DayBlock(Block):
-    """day NAME { ... }: a scripted day."""
-
-    length: Ms = 30_000.0
-    settle: Ms = 3_000.0  # before the load begins
-    goal: Part = 0.0  # the service that the day must reach
-    at: list[Trouble] = field(default_factory=list)
-
-
 class Config(Block):
     """A whole file."""
 
