--- a/benchmarks/caps_shared.py
+++ b/benchmarks/caps_shared.py
@@ -18,7 +18,7 @@
 
 from pebblehinge.settings.schema import GroupBlock, LimitsBlock
 
-LINES, LOAD, SCHEMA = (f"pebblehinge/settings/{n}.py" for n in ("lines", "load", "schema"))
+LINES, LOAD, SCHEMA, UNITS = (f"pebblehinge/settings/{n}.py" for n in ("lines", "load", "schema", "units"))
 MESSAGES, NODE, STORAGE = (f"pebblehinge/raft/{n}.py" for n in ("messages", "node", "storage"))
 SERVER, STATE, ASKING, ASK, FEED, LEASES, RENEWALS = (
     f"pebblehinge/agreed/{n}.py" for n in ("server", "state", "asking", "ask", "feed", "leases", "renewals")
@@ -31,15 +31,15 @@
     Cap("characters of a line of settings", LINES, "LONGEST = ", constant("pebblehinge.settings.lines", "LONGEST"),
         "characters", "a directive with its values, `through` the longest of them", longest_line(),
         f"`through` with {HEADS} names of {LONGEST_NAME} characters", "the file or version is refused with line and "
-        "length: no volume can come through all heads by name", LOW),
+        "length", RAISED, "0.95 MB while such a line is read, 0.17 MB held (tracemalloc)"),
     Cap("blocks within blocks, includes within includes", LINES, "DEEPEST = ",
         constant("pebblehinge.settings.lines", "DEEPEST"), "deep", "open blocks, files that include files", 4,
         "a version has no includes and blocks two deep", "refused with its place", ENOUGH),
     Cap("volumes in one `volumes` block", LOAD, "if not 1 <= count <=", inline(LOAD, r"1 <= count <= ([0-9_]+)"),
         "volumes", "`volumes PREFIX COUNT`", VOLUMES, "the issue's volumes", "refused with its place", ENOUGH),
-    Cap("count", SCHEMA, "Count = Annotated", inline(SCHEMA, r"Count = .*le=([0-9_]+)"), "", "heads of a volume, a "
+    Cap("count", UNITS, "Count = Annotated", inline(UNITS, r"Count = .*le=([0-9_]+)"), "", "heads of a volume, a "
         "fleet's heads and shelfs, most counts", SHELFS, "shelfs of a fleet block", "refused with its place", ENOUGH),
-    Cap("characters of a name", SCHEMA, "Name = Annotated", inline(SCHEMA, r"\{0,(\d+)\}\$"), "more than one",
+    Cap("characters of a name", UNITS, "Name = Annotated", inline(UNITS, r"\{0,(\d+)\}\$"), "more than one",
         "names of heads, shelfs, volumes", None, "", "refused with its place", NAMED),
     Cap("ports of a fleet block's heads", LOAD, "PORTS = ", lambda: _ports("rsync") - _ports("head"), "heads",
         "heads before their ports meet those for rsync", HEADS, "a laboratory's fleet", "two processes want one "
