--- a/pebblehinge/agreed/taking.py
+++ b/pebblehinge/agreed/taking.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from pebblehinge.agreed.activation import Aside, careful, cut_off, leave
-from pebblehinge.agreed.reading import read
+from pebblehinge.agreed.reading import read, same
 from pebblehinge.settings import Config, SettingsError
 
 
@@ -136,7 +136,7 @@
 
     def _read(self, number: int, text: str) -> None:
         self.configs[number] = read(text, f"version {number}")
-        self.texts[number] = text
+        self.texts[number] = same(text)
 
     def config(self, now: float) -> tuple[Config | None, str]:
         """What to act on, and the mode: none, cut off, careful or active."""
@@ -144,11 +144,11 @@
             return None, "none"
         current = leave(self.configs[self.active], self.aside)
         if self.pending:
-            current = careful(current, self.configs[self.pending], self.head)
+            current = careful(current, self.configs[self.pending], self.head, self.floor)
         if now >= self.lease_until:
             # Whatever came since, the group counts this head for the floor of what it acknowledged last.
             base = self.configs[self.active]
             if self.pending:
-                base = careful(base, self.configs[self.pending], self.head)
+                base = careful(base, self.configs[self.pending], self.head, self.floor)
             return cut_off(base, self.floor), "cut off"
         return current, "careful" if self.pending else "active"
