Capacity: ten slopes measured with nothing beside them, caps of the tree, bounds by the new ticks

The page's caps are held to the code by a test: another value, need or verdict there fails until they are taken in anew.

--- a/benchmarks/slopes_service.py
+++ b/benchmarks/slopes_service.py
@@ -191,7 +191,8 @@
                 dials, well = await head.run(clients, count, count)
                 held = resident_kib(head.child.pid)
                 up = sum(not conn.lost for peer in peers[:count] for conn in peer.conns)
-                rest = await head.at_rest(1.0)
+                await asyncio.sleep(1.0)
+                rest = await head.at_rest(REST_S)
                 cost, honoured = await head.run(clients, ACCESSES, count)
                 after = resident_kib(head.child.pid)
             for peer in peers:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -18,6 +18,7 @@
 from capacity_fits import DATA, Data, DataError, least_squares, take  # noqa: E402
 from capacity_page import MARKED, PAGE, PLOT, passed_at, written  # noqa: E402
 from capacity_plot import plot  # noqa: E402
+from caps import CAPS  # noqa: E402
 
 from pebblehinge.agreed.state import VERSIONS  # noqa: E402
 from pebblehinge.service.door import Door  # noqa: E402
@@ -136,6 +137,8 @@
     assert common["lease_s"] * 1000 == group.lease
     assert common["renew_s"] * 1000 == group.renew
     assert common["compact"] == group.compact
+    assert common["tick_s"] * 1000 == group.tick
+    assert common["election_s"] * 1000 == group.tick * group.election
     assert common["versions_kept"] == VERSIONS
     assert common["frame_limit"] == limits.frame
     assert common["framed_clients"] == limits.connections
@@ -143,6 +146,15 @@
     assert common["service_idle_s"] * 1000 == Door.IDLE_MS
 
 
+def test_the_caps_of_the_page_are_those_of_the_code() -> None:
+    now = {(cap.name, cap.file): (cap.value(), cap.needed, cap.verdict) for cap in CAPS}
+    told = {
+        (p["x"]["cap"], p["x"]["file"]): (p["y"]["value"], p["y"]["needed"], p["y"]["verdict"])
+        for p in raw()["runs"]["caps"]["points"]
+    }
+    assert told == now, "python benchmarks/caps.py --json FILE; python benchmarks/capacity_page.py --take FILE"
+
+
 def test_the_fleet_size_is_the_first_at_which_the_budget_is_passed() -> None:
     data = Data.load()
     assert passed_at(data, "heads * 2", "100") == 51
