--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -27,6 +27,7 @@
 NOT_MEASURED = "*not measured*"
 FAR = 1.05  # a fit that is used further beyond its range than this is called extrapolated
 MOST_HEADS = 1_000_000
+FAR_OFF = 10  # times the coming size: beyond that a row of the ranked list is only named
 
 
 def cell(data: Data, names: dict[str, float], stated: Any, unit: str, used: list[str]) -> tuple[str, float | None]:
@@ -133,12 +134,14 @@
         source = "computed" if "expr" in row else f"run {row['run']}"
         found.append((heads if heads is not None else MOST_HEADS + 1, row, source))
     found.sort(key=lambda f: (f[0], f[1]["what"]))
+    far = [row["what"] for heads, row, _ in found if heads > FAR_OFF * data.raw["sizes"]["coming"]["heads"]]
     body = [
         [str(n), row["what"], at_heads(heads), row["budget_said"],
          row["mechanism"], source]
-        for n, (heads, row, source) in enumerate(found, 1)
+        for n, (heads, row, source) in enumerate(found[: len(found) - len(far)], 1)
     ]  # fmt: skip
-    return rows(["", "what breaks", "at heads", "budget", "mechanism", "how known"], body)
+    table = rows(["", "what breaks", "at heads", "budget", "mechanism", "how known"], body)
+    return table + f"\nPassed only over {FAR_OFF} times the coming size: {'; '.join(far) or 'none'}.\n"
 
 
 def slopes(data: Data) -> str:
