--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -56,7 +56,19 @@
     return f"*does not*: {number(value / budget)} times"
 
 
-def roles(data: Data) -> str:
+def summary(data: Data) -> str:
+    """What the rows of all roles come to."""
+    lines = judged(data)
+    wrong = [[line[0], line[1], line[3], line[4], line[6]] for line in lines if line[6].startswith("*does not*")]
+    counts = {
+        said: sum(line[6].startswith(said) for line in lines) for said in ("*holds*", "*not built*", NOT_MEASURED)
+    }
+    told = "; ".join(f"{said} {n}" for said, n in counts.items())
+    table = rows(["role", "what does not hold", "coming size", "budget", "verdict"], wrong)
+    return f"{table}\nOf {len(lines)} rows: *does not* {len(wrong)}; {told}; the others have no budget stated.\n"
+
+
+def judged(data: Data) -> list[list[str]]:
     body = []
     for row in data.raw["roles"]:
         used: list[str] = []
@@ -68,8 +80,12 @@
             row["role"], row["what"], today, coming, quantity(budget, unit) if budget is not None else "-",
             row.get("mechanism", "-"), verdict(value, budget, row.get("verdict", "")), ", ".join(used) or "-",
         ])  # fmt: skip
+    return body
+
+
+def roles(data: Data) -> str:
     head = ["role", "what", "today", "coming size", "budget", "what carries it", "verdict", "from"]
-    return rows(head, body)
+    return rows(head, judged(data))
 
 
 def size(data: Data) -> str:
@@ -185,7 +201,8 @@
 
 
 TABLES: dict[str, Callable[[Data], str]] = {
-    "size": size, "roles": roles, "zones": zones, "slopes": slopes, "events": events, "missing": missing, "runs": runs,
+    "summary": summary, "size": size, "roles": roles, "zones": zones, "slopes": slopes,
+    "events": events, "missing": missing, "runs": runs,
     "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps"),
     "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread"),
     "virtual": lambda d: section(d, "virtual"),
