--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -27,6 +27,7 @@
 NOT_MEASURED = "*not measured*"
 FAR = 1.05  # a fit that is used further beyond its range than this is called extrapolated
 MOST_HEADS = 1_000_000
+FAR_OFF = 10  # times the coming size: beyond that a row of the ranked list is only named
 
 
 def cell(data: Data, names: dict[str, float], stated: Any, unit: str, used: list[str]) -> tuple[str, float | None]:
@@ -55,7 +56,19 @@
     return f"*does not*: {number(value / budget)} times"
 
 
-def roles(data: Data) -> str:
+def summary(data: Data) -> str:
+    """What the rows of all roles come to."""
+    lines = judged(data)
+    wrong = [[line[0], line[1], line[3], line[4], line[6]] for line in lines if line[6].startswith("*does not*")]
+    counts = {
+        said: sum(line[6].startswith(said) for line in lines) for said in ("*holds*", "*not built*", NOT_MEASURED)
+    }
+    told = "; ".join(f"{said} {n}" for said, n in counts.items())
+    table = rows(["role", "what does not hold", "coming size", "budget", "verdict"], wrong)
+    return f"{table}\nOf {len(lines)} rows: *does not* {len(wrong)}; {told}; the others have no budget stated.\n"
+
+
+def judged(data: Data) -> list[list[str]]:
     body = []
     for row in data.raw["roles"]:
         used: list[str] = []
@@ -67,8 +80,12 @@
             row["role"], row["what"], today, coming, quantity(budget, unit) if budget is not None else "-",
             row.get("mechanism", "-"), verdict(value, budget, row.get("verdict", "")), ", ".join(used) or "-",
         ])  # fmt: skip
+    return body
+
+
+def roles(data: Data) -> str:
     head = ["role", "what", "today", "coming size", "budget", "what carries it", "verdict", "from"]
-    return rows(head, body)
+    return rows(head, judged(data))
 
 
 def size(data: Data) -> str:
@@ -133,12 +150,14 @@
         source = "computed" if "expr" in row else f"run {row['run']}"
         found.append((heads if heads is not None else MOST_HEADS + 1, row, source))
     found.sort(key=lambda f: (f[0], f[1]["what"]))
+    far = [row["what"] for heads, row, _ in found if heads > FAR_OFF * data.raw["sizes"]["coming"]["heads"]]
     body = [
         [str(n), row["what"], at_heads(heads), row["budget_said"],
          row["mechanism"], source]
-        for n, (heads, row, source) in enumerate(found, 1)
+        for n, (heads, row, source) in enumerate(found[: len(found) - len(far)], 1)
     ]  # fmt: skip
-    return rows(["", "what breaks", "at heads", "budget", "mechanism", "how known"], body)
+    table = rows(["", "what breaks", "at heads", "budget", "mechanism", "how known"], body)
+    return table + f"\nPassed only over {FAR_OFF} times the coming size: {'; '.join(far) or 'none'}.\n"
 
 
 def slopes(data: Data) -> str:
@@ -182,7 +201,8 @@
 
 
 TABLES: dict[str, Callable[[Data], str]] = {
-    "size": size, "roles": roles, "zones": zones, "slopes": slopes, "events": events, "missing": missing, "runs": runs,
+    "summary": summary, "size": size, "roles": roles, "zones": zones, "slopes": slopes,
+    "events": events, "missing": missing, "runs": runs,
     "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps"),
     "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread"),
     "virtual": lambda d: section(d, "virtual"),
