--- a/tests/test_scale_small.py
+++ b/tests/test_scale_small.py
@@ -14,14 +14,12 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import random
 from collections import Counter
 from typing import Any
 
 import pytest
 
-from pebblehinge.agreed import taking
 from pebblehinge.agreed.ask import ask_group
 from pebblehinge.agreed.feed import Feed
 from pebblehinge.agreed.server import MemberServer
@@ -199,7 +197,7 @@
 
 @pytest.fixture
 def counted(monkeypatch: pytest.MonkeyPatch) -> Counter[int]:
-    """Frames by kind, as any end writes them; a version's text is read once for all heads."""
+    """Frames by kind, as any end writes them."""
     found: Counter[int] = Counter()
     write = Peer._write
 
@@ -208,7 +206,6 @@
         write(peer, data)
 
     monkeypatch.setattr(Peer, "_write", counting)
-    monkeypatch.setattr(taking, "loads", functools.lru_cache(maxsize=8)(loads))
     return found
 
 
