--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -203,7 +203,7 @@
 TABLES: dict[str, Callable[[Data], str]] = {
     "summary": summary, "size": size, "roles": roles, "zones": zones, "slopes": slopes,
     "events": events, "missing": missing, "runs": runs,
-    "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps"),
+    "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps", "idle"),
     "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread"),
     "virtual": lambda d: section(d, "virtual"),
 }  # fmt: skip
