--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -206,7 +206,7 @@
     "events": events, "missing": missing, "runs": runs,
     "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps", "idle"),
     "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread", "version-spread"),
-    "virtual": lambda d: section(d, "virtual"),
+    "virtual": lambda d: section(d, "virtual", "wide"),
 }  # fmt: skip
 
 
