--- /dev/null
+++ b/tests/test_wide_group.py
@@ -0,0 +1,43 @@
+"""Forty heads and five instances struck by chance while versions follow each other: no sum of parts over a limit, all
+come to rest, the group keeps its word. `benchmarks/wide_group.py` plays the same with 200 heads and many seeds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from wide_faults import play
+from wide_world import OverLimit
+
+from pebblehinge.agreed import leases, taking
+from pebblehinge.agreed.activation import careful
+from pebblehinge.agreed.leases import Leases
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_sum_of_parts_passes_a_limit_whatever_befalls_heads_and_leaders(seed: int) -> None:
+    group = play(seed, 40, 8.0)
+    assert group.most > 0.99  # the limits were really used
+    assert group.active() >= 4 and group.counts["cut off"] > 40
+    assert group.counts["heads killed"] and group.counts["heads frozen"] + group.counts["heads cut"]
+
+
+# What holds the sum under the limit: (part of the program, its name, what stands in its place), seed, heads, seconds.
+DEFENCES: dict[str, tuple[list[tuple[Any, str, Any]], int, int, float]] = {
+    "the leader waits for leases": ([(Leases, "runs_until", lambda self, head: 0.0)], 2, 12, 6.0),
+    "heads are careful": ([(taking, "careful", lambda old, new, head, floor: old)], 2, 12, 6.0),
+    "careful heads leave room for those who are away": (
+        [(taking, "careful", lambda old, new, head, floor: careful(old, new, head)),
+         (leases, "leaves_room", lambda *_: True)], 1, 6, 2.0,
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("defence", DEFENCES)
+def test_a_sum_over_a_limit_is_seen_where_a_defence_is_gone(defence: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    parts, seed, heads, length_s = DEFENCES[defence]
+    play(seed, heads, length_s)
+    for of, name, instead in parts:
+        monkeypatch.setattr(of, name, instead)
+    with pytest.raises(OverLimit):
+        play(seed, heads, length_s)
