Scale run: a frozen head is counted by what it sends, and for how long parts are over is told

It is counted as nothing while it stands, and as what it acted on before from its thawing until it says otherwise.

--- a/benchmarks/scale/events.py
+++ b/benchmarks/scale/events.py
@@ -187,15 +187,24 @@
         """The first process of hollow heads stands for several leases; a version is proposed meanwhile."""
         process = next(iter(self.stage.holds))
         begin, struck = time.monotonic(), set(self.stage.holds[process])
+        self.following.look()
+        before = {head: self.following.now[head] for head in struck}
         self.stage.freeze_one(process)
+        self._note(before, stands=True)  # a process that stands sends nothing, and can't say so
         try:
             row = await self.propose()
             await self.in_force(row, [h for h in self.heads if h not in struck])
             await asyncio.sleep(max(0.0, begin + ZONE_S - time.monotonic()))
         finally:
+            self._note(before, stands=False)
             self.stage.thaw_one(process)
         self.told["well"] = await self.well()
 
+    def _note(self, rows: dict[str, dict[str, Any]], stands: bool) -> None:
+        """Heads stand, or act on what they acted on before until they say otherwise."""
+        for row in rows.values():
+            self.following.rows.append(row | {"t": time.monotonic()} | ({"part": 0.0} if stands else {}))
+
     def _kill_hollow(self, every: int, down_s: tuple[float, float]) -> list[str]:
         """One in so many of each process's heads; their names."""
         struck = []
--- a/benchmarks/scale/points.py
+++ b/benchmarks/scale/points.py
@@ -57,6 +57,7 @@
     y |= {"well": told["well"]["well"], "well_after_s": told["well"]["after_s"], "unwell": told["well"]["unwell"]}
     y |= {"text_bytes": told["text_bytes"], "most_mb": told["most_mb"], "most_processes": told["most_processes"]}
     y |= {"parts_worst_share": told["parts_summed"]["worst_share"], "parts_over": told["parts_summed"]["over"]}
+    y["parts_over_s"] = told["parts_summed"].get("over_s")
     y |= {"rules_kept": told["rules_kept"], "real_service": told["real"]["service"], "faults": len(told["faults"])}
     return {"x": {key: told.get(key, "flat" if key == "text" else None) for key in X}, "y": y}
 
