--- a/pebblehinge/agreed/leases.py
+++ b/pebblehinge/agreed/leases.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pebblehinge.agreed.activation import Aside, aside_of, fits
+from pebblehinge.agreed.activation import Aside, aside_of, fits, leaves_room
+from pebblehinge.agreed.reading import read
 from pebblehinge.agreed.state import State
 from pebblehinge.settings import Config
-from pebblehinge.settings.load import loads
 
 
 @dataclass(slots=True)
@@ -54,7 +54,7 @@
             text = state.text(number)
             if text is None:
                 return None
-            self.configs[number] = loads(text, f"version {number}")
+            self.configs[number] = read(text, f"version {number}")
             for old in sorted(self.configs)[:-16]:
                 del self.configs[old]
         return self.configs[number]
@@ -80,6 +80,8 @@
         config = self.config(state, target)
         if config is None or fits(config, aside) is not None:
             return None
+        if target == state.pending and not leaves_room(config, aside, self.floor, [name for name, _ in missing]):
+            return None
         if target == state.active and aside == state.aside:
             return None
         return ("activate", target, aside, state.changed)
