--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -19,6 +19,7 @@
 
 from capacity_fits import DATA, ROOT, Data, DataError, Reckoning, dumped, take  # noqa: E402
 from capacity_plot import plot  # noqa: E402
+from capacity_scale import scale  # noqa: E402
 from capacity_text import figure, number, quantity, rows  # noqa: E402
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -205,7 +206,7 @@
     "summary": summary, "size": size, "roles": roles, "zones": zones, "slopes": slopes,
     "events": events, "missing": missing, "runs": runs,
     "decision": lambda d: section(d, "decision"), "caps": lambda d: section(d, "caps", "idle"),
-    "scale": lambda d: section(d, "scale"), "spread": lambda d: section(d, "spread", "version-spread"),
+    "scale": scale, "spread": lambda d: section(d, "spread", "version-spread"),
     "virtual": lambda d: section(d, "virtual", "wide"),
 }  # fmt: skip
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -18,6 +18,7 @@
 from capacity_fits import DATA, Data, DataError, least_squares, take  # noqa: E402
 from capacity_page import MARKED, PAGE, PLOT, passed_at, written  # noqa: E402
 from capacity_plot import plot  # noqa: E402
+from capacity_scale import broken, whole  # noqa: E402
 from caps import CAPS  # noqa: E402
 
 from pebblehinge.agreed.state import VERSIONS  # noqa: E402
@@ -102,6 +103,35 @@
             Data(held)
 
 
+def absent(runs: dict[str, Any]) -> list[str]:
+    """Programs that commands name and that the tree does not have."""
+    words = [word for run in runs.values() for word in run["command"].split()]
+    return [word for word in words if word.endswith(".py") and not (ROOT / word).is_file()]
+
+
+def test_the_commands_of_all_runs_name_programs_of_the_tree() -> None:
+    runs = raw()["runs"]
+    assert all(any(word.endswith(".py") for word in run["command"].split()) for run in runs.values())
+    assert absent(runs) == []
+    assert absent({"a": {"command": "python benchmarks/gone.py --heads 3"}}) == ["benchmarks/gone.py"]
+
+
+def test_a_scale_run_is_held_against_each_line() -> None:
+    names = Data.load().size("coming")
+    well = {"version_last_s": 11.0, "version_p99_s": 2.9, "version_missing": 0, "rest_frames": 2.0, "rest_bytes": 90.0,
+            "rest_leader_cpu_share": 0.2, "event_real_heads_most_lag_ms": 19.0, "parts_over": 0, "rules_kept": True,
+            "well": True}  # fmt: skip
+    assert broken(names, well) == "none"
+    worse = {"version_last_s": 12.1, "version_p99_s": 3.1, "version_missing": 1, "rest_frames": 3.1,
+             "rest_bytes": 22_001.0, "rest_leader_cpu_share": 0.26, "event_real_heads_most_lag_ms": 21.0,
+             "parts_over": 1, "rules_kept": False, "well": False}  # fmt: skip
+    for key, value in worse.items():
+        assert broken(names, well | {key: value}) not in ("none", ""), key
+    assert len(broken(names, worse).split(", ")) == len(worse)
+    point = {"x": {}, "y": {"version_NEWS_a_head": 2.0, "version_RENEW_a_head": 3.0, "version_RAFT_a_head": 50.0}}
+    assert whole(point)["version_frames"] == 5.0
+
+
 def test_the_text_beside_the_tables_holds_no_measured_figures() -> None:
     """They would go stale unseen."""
     prose = re.sub(r"`[^`]*`", "", MARKED.sub("", PAGE.read_text()))
