Tests: a lease is for heads alone whose word is in the log; waiters are answered once

Both were not noticed when taken out on purpose (a lease for anyone; waiters of an old term kept): limits held, since the leader waits for each lease that it grants. test_taken_up.py looks at the answers themselves now.

--- a/tests/test_taken_up.py
+++ b/tests/test_taken_up.py
@@ -75,6 +75,29 @@
         granting.look()
         assert granting.leases is not was and granting.leases.elected_ms == g.clock()
         assert waiting.grants == [(1, 0.0, 0, "", 0, "", {}, "")]
+        assert not granting.renewals.waiting and not granting.renewals.asked  # answered once, and not again
         raft.term -= 1
 
     on_group(script)
+
+
+def test_a_lease_is_for_heads_alone_whose_word_for_what_is_to_come_is_in_the_log() -> None:
+    async def script(g: Group) -> None:
+        granting = g.leader().granting
+
+        async def lease(head: str, acknowledges: int) -> float:
+            conn = Conn()
+            granting.renewed(conn, 1, head, acknowledges, 1, 0, "")
+            await g.until(lambda: conn.grants, 1.0)
+            return conn.grants[0][1]
+
+        assert await lease("h1", 1) == 2_000.0
+        assert await lease("h1", 0) == 0.0  # it has lost what it acknowledged
+        assert await lease("new", 0) == 0.0 and "new" not in g.leader().state.heads
+        g.kill_head("h4")  # the next version stays pending for as long as its lease runs
+        ok, said = await g.propose(document(40), 2)
+        assert ok, said
+        assert await lease("h2", 1) == 0.0 and g.leader().state.pending == 2
+        assert await lease("new", 2) == 2_000.0 and g.leader().state.heads["new"].version == 2
+
+    on_group(script)
