--- a/tests/test_decisions_at_size.py
+++ b/tests/test_decisions_at_size.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+import json
+import math
 import sys
 from pathlib import Path
 
@@ -10,6 +13,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "benchmarks"))
 
 import decisions_limits  # noqa: E402
+import decisions_page  # noqa: E402
+import decisions_pools  # noqa: E402
 from decisions_limits import BURST_S, SHAPES, Limits, slack_of  # noqa: E402
 
 LIMIT = 500.0
@@ -56,3 +61,22 @@
 def test_the_same_seed_gives_the_same_figures_and_another_seed_others() -> None:
     runs = [Limits(12, seed, LIMIT, 0.9, "zipf", 12.0).figures() for seed in (1, 1, 2)]
     assert runs[0] == runs[1] != runs[2]
+
+
+def test_the_page_has_the_tables_of_its_data_and_no_other() -> None:
+    page, data = decisions_page.PAGE.read_text(), json.loads(decisions_page.DATA.read_text())
+    marked = decisions_page.TABLE.findall(page)
+    assert sorted(name for name, _ in marked) == sorted(data)
+    assert decisions_page.filled(page, data) == page
+    other = copy.deepcopy(data)
+    other["pools"]["points"][0]["y"]["head_connections"] += 1
+    assert decisions_page.filled(page, other) != page
+
+
+def test_pools_by_hand() -> None:
+    """Of trips that take no time one connection does: held unless none came within what is kept, then dialled."""
+    held, dials = decisions_pools.pair(2.0, 0.5, 0.0)
+    assert math.isclose(held, 1 - math.exp(-1.0)) and math.isclose(dials, 2.0 * math.exp(-1.0))
+    assert decisions_pools.pair(2.0, 0.5, 0.1)[0] > held
+    capped = decisions_pools.in_service(910, "even", 30.0, 1_024)
+    assert capped["head_connections"] == 384 and capped["head_dials_s"] > 600.0
