--- a/benchmarks/decisions_at_size.py
+++ b/benchmarks/decisions_at_size.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
-SCENES = ("limits", "sums", "pools")
+SCENES = ("limits", "sums", "pools", "learning")
 
 
 def main() -> None:
--- a/benchmarks/decisions_page.py
+++ b/benchmarks/decisions_page.py
@@ -16,7 +16,7 @@
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 DATA, PAGE = DOCS / "decisions-at-size.json", DOCS / "decisions-at-size.md"
-KINDS = {"limits": "virtual time", "sums": "virtual time", "pools": "computed"}
+KINDS = {"limits": "virtual time", "sums": "virtual time", "learning": "virtual time", "pools": "computed"}
 TABLE = re.compile(r"<!-- table (\w+) -->\n(.*?)<!-- end -->", re.S)
 Points = list[dict[str, Any]]
 
@@ -70,6 +70,14 @@
     return table(["case", "heads", "demand", "given", "found", "seed"], rows)
 
 
+def learning(points: Points) -> str:
+    keys = ("learned", "learned_p50_ms", "learned_p99_ms", "asked", "lost_before", "lost_after",
+            "again", "again_p50_ms", "again_p99_ms")  # fmt: skip
+    xs = ("fault", "pair_s", "shape", "heads", "seed")
+    rows = [[*(str(p["x"][k]) for k in xs), *(str(p["y"][k]) for k in keys)] for p in points]
+    return table([*xs, *(k.replace("_", " ") for k in keys)], rows)
+
+
 def pools(points: Points) -> str:
     rows = []
     for point in points:
@@ -84,7 +92,7 @@
 
 
 def tables(data: dict[str, Any]) -> dict[str, str]:
-    makers = {"limits": limits, "sums": sums, "pools": pools}
+    makers = {"limits": limits, "sums": sums, "learning": learning, "pools": pools}
     return {name: make(data[name]["points"]) for name, make in makers.items() if name in data}
 
 
--- a/tests/test_decisions_at_size.py
+++ b/tests/test_decisions_at_size.py
@@ -15,6 +15,7 @@
 import decisions_limits  # noqa: E402
 import decisions_page  # noqa: E402
 import decisions_pools  # noqa: E402
+from decisions_learning import Learning  # noqa: E402
 from decisions_limits import BURST_S, SHAPES, Limits, slack_of  # noqa: E402
 
 LIMIT = 500.0
@@ -80,3 +81,10 @@
     assert decisions_pools.pair(2.0, 0.5, 0.1)[0] > held
     capped = decisions_pools.in_service(910, "even", 30.0, 1_024)
     assert capped["head_connections"] == 384 and capped["head_dials_s"] > 600.0
+
+
+def test_a_head_that_asks_often_learns_of_a_shelf_that_hangs_and_uses_it_again() -> None:
+    found = Learning(6, 1, "hang", 10.0, "even").figures()
+    assert found["learned"] == found["again"] == 1.0 and found["learned_p99_ms"] < 2_000
+    assert 0 < found["lost_before"] < found["asked"]
+    assert Learning(6, 1, "hang", 10.0, "even").figures() == found
