--- a/pebblehinge/agreed/asking.py
+++ b/pebblehinge/agreed/asking.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from pebblehinge.agreed.bounds import too_large
 from pebblehinge.agreed.leases import Leases
 from pebblehinge.agreed.proposals import Proposals
 from pebblehinge.agreed.reading import read
@@ -71,6 +72,9 @@
 
     def _ask_propose(self, tell: Callable[[bool, str], None], v: dict[str, str | int]) -> None:
         text = str(v["text"])
+        if refused := too_large(text):
+            tell(False, refused)
+            return
         try:
             read(text, "proposal")
         except SettingsError as error:
