--- a/benchmarks/capacity_fits.py
+++ b/benchmarks/capacity_fits.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 DATA = ROOT / "benchmarks" / "capacity.json"
-KINDS = ("measured", "counted", "virtual time", "trial")
+KINDS = ("measured", "counted", "virtual time", "computed", "trial")
 FORMS = {"constant": 0, "line": 1, "square": 2}  # the highest power of x
 COMMIT = re.compile(r"[0-9a-f]{7,40}")
 DATE = re.compile(r"20\d\d-[01]\d-[0-3]\d")
@@ -212,7 +212,7 @@
 def take(raw: dict[str, Any], fragment: dict[str, Any]) -> str:
     """Puts a fragment's run with its points into the data; returns its id, raises DataError with what is wrong."""
     run = {k: v for k, v in fragment["run"].items() if k != "id"}
-    run |= {"note": fragment.get("note", ""), "points": fragment["points"]}
+    run |= {"note": fragment.get("note") or "", "points": fragment["points"]}
     found = check_run(fragment["run"]["id"], run)
     if found:
         raise DataError("\n".join(found))
