Connections: a dial given up as its connection stands writes nothing more

Seen in a scale run of 910 heads, 67 times: 'Exception in callback <bound method Peer.flush of ...feed._Wire>', 'unable to perform operation on <TCPTransport closed=True>; the handler is closed'.

Cause: where the loop is held past a dial's time, the time-out and the connection come in one turn; uvloop then closes the transport without connection_lost, and the greeting's flush, which connection_made has put up, meets a closed handle. Ruled out: abort() in the turn of a send (no error on either loop), a task cancelled out of connection_made (none), Transport.is_closing (says False in that state).

--- a/pebblehinge/agreed/feed.py
+++ b/pebblehinge/agreed/feed.py
@@ -144,12 +144,13 @@
 
     async def _try(self, address: str) -> None:
         session = Session("head", self.taking.head, self.limits.frame, self.limits.streams, greets=True)
+        wire = _Wire(self, session, address)
         try:
             host, port = parse_address(address)
             async with asyncio.timeout(1.0):
-                await self.loop.create_connection(lambda: _Wire(self, session, address), host, port)
+                await self.loop.create_connection(lambda: wire, host, port)
         except (OSError, TimeoutError):
-            pass
+            wire.give_up()
         finally:
             self.task = None
 
@@ -245,6 +246,5 @@
             self.adopt(config, mode)
         if self.expiry is not None:
             self.expiry.cancel()
-        left = self.taking.lease_until - self.clock()
-        if left > 0:
+        if (left := self.taking.lease_until - self.clock()) > 0:
             self.expiry = self.loop.call_later(left / 1000.0 + 0.001, self._show)
--- a/pebblehinge/net/peer.py
+++ b/pebblehinge/net/peer.py
@@ -45,6 +45,9 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        if self.closed:  # its dial was given up
+            transport.abort()
+            return
         self.heard = self.loop.time()
         if self.session.greets:
             self._write(self.session.opening())
@@ -153,6 +156,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def give_up(self) -> None:
+        """Its dial was given up. Where the connection stood already, uvloop has closed it untold."""
+        self.closed = True
+        self.out.clear()
+        self.abort()
+
     def _ask_alive(self) -> None:
         quiet = (self.loop.time() - self.heard) * 1000.0
         self.asked += 1
--- a/pebblehinge/raft/node.py
+++ b/pebblehinge/raft/node.py
@@ -71,12 +71,13 @@
             self.task = self.loop.create_task(self._try())
 
     async def _try(self) -> None:
-        session = Session("member", self.name, self.limit, 64, greets=True)
+        link = _Link(self, Session("member", self.name, self.limit, 64, greets=True))
         try:
             host, port = parse_address(self.address)
             async with asyncio.timeout(1.0):
-                await self.loop.create_connection(lambda: _Link(self, session), host, port)
+                await self.loop.create_connection(lambda: link, host, port)
         except (OSError, TimeoutError):
+            link.give_up()
             self._later()
         finally:
             self.task = None
