--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -123,7 +123,9 @@
     assert rig.wire.closed
 
 
-@pytest.mark.parametrize("leader, closed", [(Wire.address, False), (f"{LOOPBACK}:6002", True)], ids=["itself", "another"])
+@pytest.mark.parametrize(
+    "leader, closed", [(Wire.address, False), (f"{LOOPBACK}:6002", True)], ids=["itself", "another"]
+)
 def test_one_that_names_another_leader_is_left_and_one_that_names_itself_is_not(leader: str, closed: bool) -> None:
     rig = Rig()
     rig.in_force()
