Read over: one dial for framed connections; the group's frames are bounded by its own classes

Peer.give_up stood in two callers of four: ask_one and the client library dial under a time-out as well, with the same greeting still to be written. net.dial connects a peer and gives it up whatever ends the dial; feed, PeerLink, ask_one and connect use it.

bounds.roomy was asked of four callers of MemberServer and Feed; whoever forgot it had frames of limits frame. Both classes take it themselves. test_sized_versions no longer prepares its settings for it: two of its three tests fail without this change.

Granting.lost does nothing where nothing was taken in: a follower's look made a new Renewals each tick.

--- a/pebblehinge/agreed/ask.py
+++ b/pebblehinge/agreed/ask.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pebblehinge.agreed.bounds import FRAME
-from pebblehinge.net import Peer, parse_address
+from pebblehinge.net import Peer, dial
 from pebblehinge.wire import Kind, Session
 
 
@@ -40,9 +40,9 @@
     loop: asyncio.AbstractEventLoop, address: str, verb: str, values: dict[str, Any], within_s: float = 3.0
 ) -> tuple[bool, str, str]:
     """One instance's answer; raises OSError or TimeoutError."""
-    host, port = parse_address(address)
+    wire = _Wire(loop)
     async with asyncio.timeout(within_s):
-        _, wire = await loop.create_connection(lambda: _Wire(loop), host, port)
+        await dial(loop, wire, address)
         try:
             return await wire.ask(verb, values)
         finally:
--- a/pebblehinge/agreed/feed.py
+++ b/pebblehinge/agreed/feed.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from pebblehinge.agreed.bounds import roomy
 from pebblehinge.agreed.taking import Taking
-from pebblehinge.net import Peer, parse_address
+from pebblehinge.net import Peer, dial
 from pebblehinge.settings import Config
 from pebblehinge.store.beside import Beside, inline
 from pebblehinge.wire import Kind, Session
@@ -54,7 +55,7 @@
         log: Any,
         beside: Beside = inline,
     ) -> None:
-        self.loop, self.clock, self.limits, self.group = loop, clock, config.limits, config.group
+        self.loop, self.clock, self.limits, self.group = loop, clock, roomy(config).limits, config.group
         self.members = [block.listen for block in config.member.values()]
         self.taking, self.adopt, self.keep, self.log = taking, adopt, keep, log
         self.wire: _Wire | None = None
@@ -146,11 +147,10 @@
         session = Session("head", self.taking.head, self.limits.frame, self.limits.streams, greets=True)
         wire = _Wire(self, session, address)
         try:
-            host, port = parse_address(address)
             async with asyncio.timeout(1.0):
-                await self.loop.create_connection(lambda: wire, host, port)
+                await dial(self.loop, wire, address)
         except (OSError, TimeoutError):
-            wire.give_up()
+            pass
         finally:
             self.task = None
 
--- a/pebblehinge/agreed/granting.py
+++ b/pebblehinge/agreed/granting.py
@@ -73,6 +73,8 @@
 
     def lost(self) -> None:
         """This instance leads no more, or anew: whoever waits is sent on."""
+        if self.leases is None:
+            return  # nothing was taken in: the followers' look at each tick
         renewals, self.renewals = self.renewals, Renewals(self.group.tick)
         self.leases = None
         waiting = [*self.due, *renewals.shown.values(), *renewals.asked.values(), *renewals.waiting.values()]
--- a/pebblehinge/agreed/server.py
+++ b/pebblehinge/agreed/server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from pebblehinge.agreed.asking import Asking
+from pebblehinge.agreed.bounds import roomy
 from pebblehinge.agreed.granting import Granting
 from pebblehinge.agreed.leases import Leases
 from pebblehinge.agreed.state import State, command
@@ -73,6 +74,7 @@
         log: Any,
         seed: int = 0,
     ) -> None:
+        config = roomy(config)
         self.loop, self.clock, self.config, self.name, self.log = loop, clock, config, name, log
         group, limits = config.group, config.limits
         storage = Storage(disk)
--- a/pebblehinge/cli/group.py
+++ b/pebblehinge/cli/group.py
@@ -52,7 +52,6 @@
 async def _group(
     loop: asyncio.AbstractEventLoop, config: Config, name: str, folder: str, begin: bool, seed: int, log: Any
 ) -> int:
-    from pebblehinge.agreed.bounds import roomy
     from pebblehinge.agreed.server import MemberServer
     from pebblehinge.daemon.files import allow_files, files_of
     from pebblehinge.raft.storage import RealDisk, StorageError, identify
@@ -63,7 +62,7 @@
         disk = RealDisk(folder)
         disk.own()
         identify(disk, config.group.id, name, begin)
-        server = MemberServer(loop, clock_of(loop), roomy(config), name, disk, log, seed or os.getpid())
+        server = MemberServer(loop, clock_of(loop), config, name, disk, log, seed or os.getpid())
     except (StorageError, OSError) as error:
         give_up(f"member {name}: {folder}: {describe(error)}")
     try:
--- a/pebblehinge/cli/head.py
+++ b/pebblehinge/cli/head.py
@@ -210,7 +210,6 @@
     the floor that holds for a head without a lease."""
     from pebblehinge.agreed import Taking
     from pebblehinge.agreed.activation import cut_off
-    from pebblehinge.agreed.bounds import roomy
     from pebblehinge.agreed.feed import Feed
     from pebblehinge.raft.storage import RealDisk
     from pebblehinge.store.beside import in_thread
@@ -233,4 +232,4 @@
         server.adopt(new)
 
     server.adopt(cut_off(config, floor))
-    return Feed(loop, clock_of(loop), roomy(config), taking, adopt, keep, log, in_thread(loop))
+    return Feed(loop, clock_of(loop), config, taking, adopt, keep, log, in_thread(loop))
--- a/pebblehinge/client/conn.py
+++ b/pebblehinge/client/conn.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pebblehinge.net import Peer, parse_address
+from pebblehinge.net import Peer, dial
 from pebblehinge.wire import Kind, Session
 from pebblehinge.wire.frames import BARRIER, FLUSH, READ, WRITE
 
@@ -200,12 +200,11 @@
     connection on which nothing has come for `keepalive_ms` is asked, and ends when three times that have passed: its
     other end may be gone with nobody left to say so."""
     loop = loop or asyncio.get_running_loop()
-    host, port = parse_address(address)
     deadline = loop.time() + within_ms / 1000.0
     client = Client(loop, name, limit, streams, stall_ms, role, noted, keepalive_ms)
     try:
         async with asyncio.timeout_at(deadline):
-            await loop.create_connection(lambda: client, host, port)
+            await dial(loop, client, address)
             await client.up
     except TimeoutError:
         client.abort()
--- a/pebblehinge/lab/faults/ground_in_memory.py
+++ b/pebblehinge/lab/faults/ground_in_memory.py
@@ -9,7 +9,6 @@
 
 from pebblehinge.agreed import Taking
 from pebblehinge.agreed.activation import cut_off
-from pebblehinge.agreed.bounds import roomy
 from pebblehinge.agreed.feed import Feed
 from pebblehinge.lab.disk import FaultyDisk
 from pebblehinge.lab.faults.player import OnFleet
@@ -36,8 +35,8 @@
     if disk.exists(AGREED):
         taking = Taking.restore(name, floor, disk.read(AGREED))
     head.adopt(cut_off(config, floor))
-    feed = Feed(node, clock, roomy(config), taking, lambda new, mode: head.adopt(new),
-                lambda data: disk.replace(AGREED, data), log, beside)  # fmt: skip
+    feed = Feed(node, clock, config, taking, lambda new, mode: head.adopt(new), lambda data: disk.replace(AGREED, data),
+                log, beside)  # fmt: skip
     feed.start()
     return feed
 
--- a/pebblehinge/lab/village.py
+++ b/pebblehinge/lab/village.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from pebblehinge.agreed.bounds import roomy
 from pebblehinge.agreed.server import MemberServer
 from pebblehinge.capture import CaptureWriter
 from pebblehinge.head import HeadCore, HeadServer
@@ -112,8 +111,7 @@
         if name in self.config.member:
             disk, life = self.struck.disk(name, self.seed), self.lives.get(name, -1) + 1
             self.lives[name] = life
-            seed = self.seed * 1000 + life
-            member = MemberServer(node, clock_of(node), roomy(self.config), name, disk, self.log, seed)
+            member = MemberServer(node, clock_of(node), self.config, name, disk, self.log, self.seed * 1000 + life)
             self.servers[name] = member
             member.stopped.add_done_callback(lambda _: node.kill())  # its process ends
             await member.start()
--- a/pebblehinge/net/peer.py
+++ b/pebblehinge/net/peer.py
@@ -16,6 +16,17 @@
     return host.strip("[]"), int(port)
 
 
+async def dial(loop: asyncio.AbstractEventLoop, peer: Peer, address: str) -> None:
+    """Connects a peer that greets. One whose dial fails, runs out of its caller's time or is cancelled writes nothing:
+    uvloop may have closed a connection that stood already without telling its protocol. Raises OSError, ValueError."""
+    host, port = parse_address(address)
+    try:
+        await loop.create_connection(lambda: peer, host, port)
+    except BaseException:
+        peer.give_up()
+        raise
+
+
 class Peer(asyncio.Protocol):
     """Reads frames into calls, coalesces what is written in one turn of the loop, and keeps both bounded.
 
@@ -157,7 +168,7 @@
             self.transport.abort()
 
     def give_up(self) -> None:
-        """Its dial was given up. Where the connection stood already, uvloop has closed it untold."""
+        """Its dial was given up: nothing is read or written, whatever stands or comes yet."""
         self.closed = True
         self.out.clear()
         self.abort()
--- a/pebblehinge/raft/node.py
+++ b/pebblehinge/raft/node.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from pebblehinge.net import Peer, parse_address
+from pebblehinge.net import Peer, dial
 from pebblehinge.raft.core import Message, Raft, Role
 from pebblehinge.raft.log import Entry
 from pebblehinge.raft.storage import Storage, StorageError
@@ -73,11 +73,9 @@
     async def _try(self) -> None:
         link = _Link(self, Session("member", self.name, self.limit, 64, greets=True))
         try:
-            host, port = parse_address(self.address)
             async with asyncio.timeout(1.0):
-                await self.loop.create_connection(lambda: link, host, port)
+                await dial(self.loop, link, self.address)
         except (OSError, TimeoutError):
-            link.give_up()
             self._later()
         finally:
             self.task = None
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,6 +10,7 @@
 import uvloop
 from helpers import LOOPBACK
 
+from pebblehinge import net
 from pebblehinge.net import Peer
 from pebblehinge.wire import Session
 
@@ -29,12 +30,8 @@
         peer = Peer(loop, Session("head", "x", 1 << 16, 64, greets=True), 2000.0)
 
         async def dial() -> None:
-            try:
-                async with asyncio.timeout(0.01):
-                    await loop.create_connection(lambda: peer, LOOPBACK, port)
-            except TimeoutError:
-                peer.give_up()
-                raise
+            async with asyncio.timeout(0.01):
+                await net.dial(loop, peer, f"{LOOPBACK}:{port}")
 
         task = loop.create_task(dial())
         await asyncio.sleep(0)
--- a/tests/test_sized_versions.py
+++ b/tests/test_sized_versions.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 from test_agreed import Group, document
 
-from pebblehinge.agreed.bounds import TEXT, roomy
+from pebblehinge.agreed.bounds import TEXT
 from pebblehinge.cli import main as cli
 
 LARGE = 1_400_000  # bytes: more than a frame of `limits frame`, half as much again as the coming size
@@ -24,7 +24,6 @@
 
 def in_a_group(script: Any, seed: int = 7) -> None:
     group = Group(seed)
-    group.config = roomy(group.config)
 
     async def run() -> None:
         for n in range(1, 4):
