--- /dev/null
+++ b/review/rig.py
@@ -0,0 +1,155 @@
+"""Starts the project's programs as processes of their own for a case, and writes down what was seen."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import IO, Any
+
+ROOT = Path(__file__).resolve().parent.parent
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+READY_TIMEOUT_S = 20.0
+LOOPBACK = "127.0.0.1"
+
+
+class CaseError(Exception):
+    """The case could not run, so it says nothing of the rule."""
+
+
+def has_trouble() -> bool:
+    """Returns whether the disruption is played; `TROUBLE=0` leaves it out."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports on which nothing listens."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+class Record:
+    """The file `record.txt` of a case, a line for each thing that was sent, answered or run.
+
+    Args:
+        path: The file.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
+        self._start_s = time.monotonic()
+
+    def note(self, text: str) -> None:
+        """Writes a line with the seconds since the start."""
+        self._file.write(f"[{time.monotonic() - self._start_s:7.3f}] {text}\n")
+        self._file.flush()
+
+
+class Rig:
+    """The processes of one case, in a temporary folder.
+
+    Args:
+        record: Where the case writes.
+        folder: The temporary folder.
+    """
+
+    def __init__(self, record: Record, folder: Path) -> None:
+        self.record = record
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[str]] = {}
+        self._logs: list[IO[str]] = []
+
+    def start(self, label: str, *arguments: str, env: dict[str, str] | None = None, ready: bool = True) -> None:
+        """Starts `python -m ARGUMENTS` under a label, and waits for its line `ready` where it prints one."""
+        log = (self.folder / f"{label}.log").open("a")
+        self._logs.append(log)
+        process = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **(env or {})},
+            stdout=subprocess.PIPE if ready else log,
+            stderr=log,
+            text=True,
+        )
+        self.processes[label] = process
+        self.record.note(f"{label}: started, pid {process.pid}: python -m {' '.join(arguments)}")
+        if not ready:
+            return
+        assert process.stdout is not None
+        os.set_blocking(process.stdout.fileno(), False)
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end_s and process.poll() is None:
+            if "ready" in (process.stdout.readline() or ""):
+                self.record.note(f"{label}: ready")
+                return
+            time.sleep(0.02)
+        raise CaseError(f"{label} did not become ready; its log: {self.log_of(label)[-500:]}")
+
+    def log_of(self, label: str) -> str:
+        """Returns what a process has written to its log."""
+        return (self.folder / f"{label}.log").read_text()
+
+    def send_signal(self, label: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that this case started."""
+        self.record.note(f"{label}: {number.name}")
+        self.processes[label].send_signal(number)
+
+    def wait(self, label: str, timeout_s: float) -> int | None:
+        """Waits for the end of a process; returns its exit status, None if it goes on."""
+        try:
+            status = self.processes[label].wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+        self.record.note(f"{label}: ended with status {status}")
+        return status
+
+    def end(self) -> None:
+        """Ends all processes that this case started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        for log in self._logs:
+            log.close()
+
+
+def play(folder: Path, case: Callable[[Rig], Awaitable[list[str]]], run: Callable[[Any], Any]) -> int:
+    """Plays a case and returns its exit status.
+
+    Args:
+        folder: The folder of the case, for `record.txt`.
+        case: The case; returns how the rule was broken, a line each.
+        run: Runs a coroutine to its end, such as `asyncio.run`.
+    """
+    record = Record(folder / "record.txt")
+    record.note(f"disruption: {'played' if has_trouble() else 'left out'}")
+    with tempfile.TemporaryDirectory(prefix="review-") as temporary:
+        rig = Rig(record, Path(temporary))
+        try:
+            offences = run(case(rig))
+        except (CaseError, OSError, TimeoutError) as error:
+            record.note(f"the case could not run: {error!r}")
+            print(f"the case could not run: {error!r}")
+            return NOT_RUN
+        finally:
+            rig.end()
+    for offence in offences:
+        record.note(f"BROKEN: {offence}")
+        print(f"BROKEN: {offence}")
+    record.note("rule broken" if offences else "rule held")
+    print("rule broken" if offences else "rule held")
+    return BROKEN if offences else HELD
