--- a/review/rig.py
+++ b/review/rig.py
@@ -45,14 +45,20 @@
 
     Args:
         path: The file.
+
+    Attributes:
+        folder: The temporary folder, which is written as FOLDER.
     """
 
     def __init__(self, path: Path) -> None:
+        self.folder = ""
         self._file = path.open("w")
         self._start_s = time.monotonic()
 
     def note(self, text: str) -> None:
         """Writes a line with the seconds since the start."""
+        if self.folder:
+            text = text.replace(self.folder, "FOLDER")
         self._file.write(f"[{time.monotonic() - self._start_s:7.3f}] {text}\n")
         self._file.flush()
 
@@ -67,6 +73,7 @@
 
     def __init__(self, record: Record, folder: Path) -> None:
         self.record = record
+        record.folder = str(folder)
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[str]] = {}
         self._logs: list[IO[str]] = []
