--- a/review/rig.py
+++ b/review/rig.py
@@ -108,6 +108,20 @@
         """Returns what a process has written to its log."""
         return (self.folder / f"{label}.log").read_text()
 
+    def start_node(self, file: Path, name: str, *options: str) -> None:
+        """Starts a stand-in storage node of a settings file, whose contents last over restarts."""
+        records = self.folder / f"{name}-records"
+        records.mkdir(exist_ok=True)
+        arguments = ["--name", name, "--store", str(self.folder / name), "--records", str(records), *options]
+        self.start(name, "pebblehinge", "storage-node", str(file), *arguments)
+
+    def note_attempts(self, name: str) -> None:
+        """Writes down what a storage node got, what took effect there, and what it dropped as a repeat."""
+        for path in sorted((self.folder / f"{name}-records").glob("*.jsonl")):
+            for line in path.read_text().splitlines():
+                if any(f'"e":"{event}"' in line for event in ("up", "got", "effect", "repeat")):
+                    self.record.note(f"{name}: {line}")
+
     def send_signal(self, label: str, number: signal.Signals) -> None:
         """Sends a signal to a process that this case started."""
         self.record.note(f"{label}: {number.name}")
