--- a/review/stage.py
+++ b/review/stage.py
@@ -144,13 +144,18 @@
         self._record.close()
 
 
-def play(case_file: str, script: Callable[[Stage], Awaitable[None]]) -> None:
+def play(
+    case_file: str,
+    script: Callable[[Stage], Awaitable[None]],
+    loop_factory: Callable[[], asyncio.AbstractEventLoop] | None = None,
+) -> None:
     """Plays a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not be played."""
     stage = Stage(Path(case_file).resolve().parent)
     stage.note(f"disruption: {'yes' if stage.trouble else 'no'}")
     status, reason = NOT_RUN, ""
     try:
-        asyncio.run(asyncio.wait_for(script(stage), TIME_LIMIT_S))
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            runner.run(asyncio.wait_for(script(stage), TIME_LIMIT_S))
         status = BROKEN if stage.faults else HELD
     except TimeoutError:
         reason = "the time of the case is over"
