review: a script that crashes is no finding

Cause: Python ends with 1 on an unforeseen error, which read as a broken rule.

Change: scripts end with 10 for a finding, and run.sh makes 1 of that alone; SIGTERM to a script ends what it has started.

--- a/review/stage.py
+++ b/review/stage.py
@@ -22,7 +22,8 @@
 HOST = "127.0.0.1"
 TIME_LIMIT_S = 115.0
 READY_S = 15.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, NOT_RUN, BROKEN = 0, 2, 10  # `run.sh` exits with 1 for 10 alone, so that a crash of a script is no finding
+RESULTS = {HELD: "held", NOT_RUN: "not run", BROKEN: "broken"}
 
 
 class CaseNotRunError(Exception):
@@ -149,7 +150,8 @@
     script: Callable[[Stage], Awaitable[None]],
     loop_factory: Callable[[], asyncio.AbstractEventLoop] | None = None,
 ) -> None:
-    """Plays a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not be played."""
+    """Plays a case and exits: 10 if the rule was broken, 0 if it held, 2 if the case could not be played."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))  # still ends what it has started
     stage = Stage(Path(case_file).resolve().parent)
     stage.note(f"disruption: {'yes' if stage.trouble else 'no'}")
     status, reason = NOT_RUN, ""
@@ -164,7 +166,7 @@
     finally:
         if reason:
             stage.note(f"not run: {reason}")
-        stage.note(f"exit {status}")
+        stage.note(f"result: {RESULTS[status]}")
         stage.close()
-    print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status], *(stage.faults[:3] or [reason]), sep="\n  ")
+    print(RESULTS[status], *(stage.faults[:3] or [reason]), sep="\n  ")
     sys.exit(status)
